Read backend answers to the letter, so that broken ones are not served

Cause: Netty's response reader ends a field name at a colon or a blank, so a line without a colon passed as a field named by its first word, and the answer behind it was served as good. It also took any number for a version or status. A broken 1xx was dropped without ending the attempt.

--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -14,9 +14,9 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -82,8 +82,8 @@
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY),
-                        connection);
+                channel.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(),
+                        new HttpObjectAggregator(MOST_BODY), connection);
             }
         }).connect(address);
         connection.channel = connecting.channel();
@@ -285,15 +285,12 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                return;
-            }
             if (current == null || response.decoderResult().isFailure()) {
                 // Bytes that nobody asked for, or that make no sense: what follows can't be trusted.
                 channel.close();
-                return;
+            } else if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+                current.answered(response);
             }
-            current.answered(response);
         }
 
         @Override
--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -13,10 +13,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
@@ -103,7 +103,7 @@
                     .handler(new ChannelInitializer<SocketChannel>() {
                         @Override
                         protected void initChannel(SocketChannel fresh) {
-                            fresh.pipeline().addLast(new HttpClientCodec(),
+                            fresh.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(),
                                     new HttpObjectAggregator(MOST_LIST), new Reader());
                         }
                     }).connect(address);
--- a/src/test/java/larkworks/proxy/BackendPoolTest.java
+++ b/src/test/java/larkworks/proxy/BackendPoolTest.java
@@ -19,6 +19,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Exchanges with a backend on real connections. */
 @Timeout(120)
@@ -132,6 +134,39 @@
         assertEquals(Outcome.CONNECT_FAILED, outcome());
     }
 
+    /** The body behind such a line is as well framed as any other, but may not be what the backend meant. */
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nno colon\r\n\r\n",
+        "HTTP/1.1 +200 OK\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 00200 OK\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/9.9 200 OK\r\nContent-Length: 2\r\n\r\nab",
+        "http/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 103 Hints\r\nno colon here\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"})
+    void takesNoAnswerThatIsNotHttpToTheLetter(String answer) throws Exception {
+        BackendPool pool = pool(new Sockets(16));
+        begin(pool, backend, request());
+        Peer.Message sent = backend.next();
+        sent.raw(answer);
+        assertEquals(Outcome.RESET, outcome());
+        sent.awaitEnd();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "HTTP/1.1 200 OK\r\nContent-Length:2\r\n\r\nab",
+        "HTTP/1.0 200 OK\r\nX-Empty:\r\nContent-Length: \t2 \r\n\r\nab",
+        "HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n0\r\nX-T: z\r\n\r\n",
+        "HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"})
+    void takesEveryFormOfAnAnswerThatHttpAllows(String answer) throws Exception {
+        BackendPool pool = pool(new Sockets(16));
+        begin(pool, backend, request());
+        backend.next().raw(answer);
+        assertEquals(Outcome.OK, outcome());
+    }
+
     @Test
     void readsLoadReports() {
         assertEquals(new LoadReport(7, 2, 0.61), BackendPool.report("inflight=7,queue=2,util=0.61"));
