Leave clients that left early out of the count that tells a jam

Cause: a call whose client had gone was tallied as not served in time, however short its stay. A few impatient clients made the module declare a jam and refuse nearly all calls for seconds.

--- a/src/main/java/larkworks/Call.java
+++ b/src/main/java/larkworks/Call.java
@@ -18,7 +18,7 @@
     final List<Attempt> attempts = new ArrayList<>(2);
     int out;
     boolean ended;
-    /** Counted already among those served in time or not. */
+    /** Counted already among those served in time or not, or not to be counted. */
     boolean tallied;
     boolean beyondShare;
     boolean streaming;
--- a/src/main/java/larkworks/Logic.java
+++ b/src/main/java/larkworks/Logic.java
@@ -759,6 +759,8 @@
         Call call = calls.get(id);
         if (call != null && !call.ended) {
             call.ended = true;
+            // One that left before its aim tells nothing of the servers, which may well have been in time.
+            call.tallied |= nowUs < call.endAtUs;
             cancelRest(call);
             forget(call);
             advance(nowUs);
--- a/src/test/java/larkworks/LogicTest.java
+++ b/src/test/java/larkworks/LogicTest.java
@@ -927,6 +927,33 @@
             assertEquals(1, p.count("log the jam has cleared"));
         }
 
+        @Test
+        void clientsThatLeaveEarlyMakeNoJam() {
+            // Impatient clients passed for calls that servers were too slow for, and the patient were refused.
+            Proxy p = new Proxy(setup()).with("a", "b", "c", "d");
+            for (int i = 0; i < 100; i++) {
+                String left = p.request(Proxy.SAFE);
+                p.pass(20);
+                p.logic.clientGone(p.now, left);
+                p.end(left, Outcome.CANCELLED);
+                if (i % 4 == 0) {
+                    assertNotNull(p.serve());
+                }
+            }
+            assertEquals(0, p.count("refuse") + p.count("log jam"));
+        }
+
+        @Test
+        void clientsThatLeaveOnceTheirAimHasPassedStillCountAsNotServed() {
+            Proxy p = new Proxy(setup()).with("a", "b", "c", "d");
+            for (int i = 0; i < 100; i++) {
+                String late = p.request(Proxy.SAFE);
+                p.pass(500);
+                p.logic.clientGone(p.now, late);
+            }
+            assertNotEquals(0, p.count("log jam"));
+        }
+
         @Test
         void longCallsDoNotMakeTheServersThatGetThemLookSlow() {
             // Slow servers took only long calls, looked slower for it and stood half idle.
