--- a/src/main/java/larkworks/Call.java
+++ b/src/main/java/larkworks/Call.java
@@ -35,4 +35,10 @@
         this.size = size;
         this.deadlineUs = nowUs + request.timeLeftUs();
     }
+
+    /** Before the aim this tells nothing of the servers, which may well have been in time. */
+    void clientLeft(long nowUs) {
+        ended = true;
+        tallied |= nowUs < endAtUs;
+    }
 }
--- a/src/main/java/larkworks/Logic.java
+++ b/src/main/java/larkworks/Logic.java
@@ -758,9 +758,7 @@
     public void clientGone(long nowUs, String id) {
         Call call = calls.get(id);
         if (call != null && !call.ended) {
-            call.ended = true;
-            // One that left before its aim tells nothing of the servers, which may well have been in time.
-            call.tallied |= nowUs < call.endAtUs;
+            call.clientLeft(nowUs);
             cancelRest(call);
             forget(call);
             advance(nowUs);
