--- a/src/test/java/larkworks/LogicTest.java
+++ b/src/test/java/larkworks/LogicTest.java
@@ -929,7 +929,7 @@
 
         @Test
         void clientsThatLeaveEarlyMakeNoJam() {
-            // Impatient clients passed for calls that servers were too slow for, and the patient were refused.
+            // Impatient clients passed for calls that servers were too slow for.
             Proxy p = new Proxy(setup()).with("a", "b", "c", "d");
             for (int i = 0; i < 100; i++) {
                 String left = p.request(Proxy.SAFE);
