Let the count that tells a jam fade by the clock, also while all is refused

Cause: the calls tried and served of late faded only when a begun call ended. Refused calls begin none and add to those tried, so that a burst of two or three failures had a copy with few calls refuse for seconds.

--- a/src/main/java/larkworks/Logic.java
+++ b/src/main/java/larkworks/Logic.java
@@ -108,12 +108,8 @@
     private double meanCrowd;
     /** Calls sent that are neither ended nor late, oldest first. */
     private final ArrayDeque<Call> pending = new ArrayDeque<>();
-    /** Calls of late that came to an end, or were turned away, and those of them served in time. */
-    private double tried;
+    private final Tally tally;
     private boolean jam;
-    private double served;
-    private long talliedAtUs;
-    private final double longestAimUs;
     /** Share of errors among all latest answers. */
     private double errors;
     private double retries = RETRY_SAVED;
@@ -158,7 +154,8 @@
         this.kindUs = new double[settings.classes().size()];
         this.sharesAtUs = new double[settings.tenants().size()];
         Arrays.fill(sharesAtUs, Long.MIN_VALUE);
-        this.longestAimUs = settings.classes().stream().mapToLong(RequestClass::aimUs).max().orElseThrow();
+        this.tally = new Tally(
+                settings.classes().stream().mapToLong(RequestClass::aimUs).max().orElseThrow());
         double price = settings.probePrice() * settings.tiers();
         double affordable = price > 0 ? PROBE_SPEND / price : PROBES_AT_ONCE * PROBE_ROUNDS;
         this.probesEarned = settings.limits().probes() && affordable >= PROBES_AT_ONCE
@@ -280,7 +277,7 @@
      */
     private double turnUs(Backend s, long nowUs) {
         double share = share(s, nowUs);
-        double over = share < 1 ? Math.max(1, (tried - BEGUN_FREE) / Math.max(1, served)) : 1;
+        double over = share < 1 ? Math.max(1, (tally.tried() - BEGUN_FREE) / Math.max(1, tally.served())) : 1;
         return paceUs() / s.part * Math.max(1, over / (share * settings.rules().tipMultiple() * COLD_MARGIN));
     }
 
@@ -357,26 +354,21 @@
      */
     private boolean overloaded(long nowUs) {
         while (!pending.isEmpty() && (pending.peek().ended || pending.peek().endAtUs <= nowUs)) {
-            tally(nowUs, pending.poll(), false);
+            tally.count(nowUs, pending.poll(), false);
         }
-        double excess = tried - BEGUN_PER_SERVED * served - BEGUN_FREE;
-        boolean refused = excess > 0 && random.nextDouble() * tried < excess;
-        tried += refused ? 1 : 0;
-        if (jam ? excess <= 0 : excess > tried / 2) {
+        tally.age(nowUs);
+        double excess = tally.tried() - BEGUN_PER_SERVED * tally.served() - BEGUN_FREE;
+        boolean refused = excess > 0 && random.nextDouble() * tally.tried() < excess;
+        if (refused) {
+            tally.countRefused();
+        }
+        if (jam ? excess <= 0 : excess > tally.tried() / 2) {
             jam = !jam;
             actions.log(jam ? "jam: most calls are late, few are begun" : "the jam has cleared");
         }
         return refused;
     }
 
-    private void tally(long nowUs, Call call, boolean inTime) {
-        double kept = Math.exp(Math.min(0, talliedAtUs - nowUs) / longestAimUs);
-        talliedAtUs = nowUs;
-        tried = tried * kept + (call.tallied ? 0 : 1);
-        served = served * kept + (call.tallied || !inTime ? 0 : 1);
-        call.tallied = true;
-    }
-
     /**
      * Whether a request lies beyond its tenant's share, by this copy's part of the quota. It earns little, so
      * it makes room while no server is idle; where calls cannot ask, always: to a copy with few calls servers
@@ -655,7 +647,7 @@
         }
         attempt.provedNotRun = outcome.provesNotRun;
         if (outcome == Outcome.OK && nowUs <= call.endAtUs) {
-            tally(nowUs, call, true);
+            tally.count(nowUs, call, true);
         }
         if (outcome == Outcome.TIMEOUT && !attempt.overdue) {
             silent(nowUs, attempt.server);
