Outlive SIGHUP and turn to the discovery that the replaced file names

Cause: nothing handled SIGHUP, at which a JVM exits.

Ruled out: memory (31 of 144 MB) and an uncaught exception (nothing on standard error), which leave other exit codes.

--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -48,7 +48,7 @@
     /** The largest list read: some thousand backends. */
     private static final int MOST_LIST = 1 << 20;
 
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final boolean asked;
     private final List<String> zones;
     private final EventLoop loop;
@@ -86,6 +86,29 @@
         }
     }
 
+    /** From now on asks another address, and first for the whole list: versions may differ there. */
+    void moveTo(InetSocketAddress other) {
+        if (closed || other.equals(address)) {
+            return;
+        }
+        address = other;
+        index = -1;
+        if (calling) {
+            calling = false;
+            silence.cancel(false);
+        }
+        dropChannel();
+        call();
+    }
+
+    private void dropChannel() {
+        if (channel != null) {
+            Channel old = channel;
+            channel = null;
+            old.close();
+        }
+    }
+
     /** Asks for the list or, once one is held, for what is newer. */
     private void call() {
         if (calling || closed) {
@@ -144,11 +167,7 @@
         }
         calling = false;
         silence.cancel(false);
-        if (channel != null) {
-            Channel old = channel;
-            channel = null;
-            old.close();
-        }
+        dropChannel();
         if (asked) {
             driver.discoveryFailed();
         } else {
@@ -176,9 +195,7 @@
         index = listing.index();
         pauseMs = FIRST_PAUSE_MS;
         if (!HttpUtil.isKeepAlive(response)) {
-            Channel old = channel;
-            channel = null;
-            old.close();
+            dropChannel();
         }
         // First the next watch, so that it comes in time however long the news takes.
         if (listing.entries().isEmpty() && System.nanoTime() - calledAt < IDLE_PAUSE_MS * 1_000_000) {
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -43,7 +43,9 @@
     /** Runs the proxy that {@code GW_CONFIG} describes. */
     public static void main(String[] args) throws InterruptedException {
         try {
-            Main main = new Main(Config.read(System.getenv("GW_CONFIG")));
+            String file = System.getenv("GW_CONFIG");
+            Main main = new Main(Config.read(file));
+            HangUp.handle(() -> main.reload(file));
             main.start();
             Runtime.getRuntime().addShutdownHook(new Thread(main::finish));
         } catch (Config.ConfigException e) {
@@ -68,6 +70,16 @@
         return listener;
     }
 
+    /** Turns to the discovery that the replaced file names; all else in it waits for a restart. */
+    private synchronized void reload(String file) {
+        try {
+            InetSocketAddress named = Config.read(file).discovery();
+            loop.execute(() -> discovery.moveTo(named));
+        } catch (Config.ConfigException e) {
+            System.err.println("larkworks: the old configuration is kept: " + e.getMessage());
+        }
+    }
+
     void awaitWarm() throws InterruptedException {
         warm.await();
     }
--- a/src/test/java/larkworks/proxy/ProcessTest.java
+++ b/src/test/java/larkworks/proxy/ProcessTest.java
@@ -68,6 +68,47 @@
         }
     }
 
+    @Test
+    void turnsToAnotherDiscoveryAtSighupAndOutlivesABadConfiguration() throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        try (Bench bench = new Bench(2); Peer other = new Peer()) {
+            bench.at(port);
+            String config = bench.config(port, "null");
+            Process process = start(config);
+            try {
+                bench.discovery.next().reply(200, Bench.list(7, true, bench.entry(0, "in_service")));
+                Peer.Message watch = bench.discovery.next();
+                connect(bench);
+
+                Files.writeString(folder.resolve("config.json"), "{\"discovery\":\"nowhere\"}");
+                hangUp(process);
+                assertTrue(process.errorReader().readLine().startsWith("larkworks: "));
+                Files.writeString(folder.resolve("config.json"),
+                        config.replace(bench.discovery.address(), other.address()));
+                hangUp(process);
+                Peer.Message asked = other.next();
+                assertEquals("GET /registry/instances HTTP/1.1", asked.line());
+                watch.awaitEnd();
+                asked.reply(200, Bench.list(3, true, bench.entry(1, "in_service")));
+                assertTrue(other.next().line().contains("?index=3&"));
+
+                Bench.Client client = bench.client().look("r");
+                bench.backends.get(1).next().reply(200, "moved");
+                assertEquals("moved", client.answer().text());
+                assertTrue(process.isAlive());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", "{", "[]", "{\"listen\":\"127.0.0.1:0\"}", "{\"settings\":{\"limits\":7}}"})
     void saysInOneLineWhatIsWrongWithTheConfiguration(String config) throws Exception {
