Hold a request that its backend calls bad against neither backend nor module

Cause: a backend's 400, its answer to an id that no client sent in that form, passed for a server's error: safe requests were repeated, backends rested, and the module counted calls not served in time and saw a jam.

Ruled out: descriptors (346 of 384, but refusals came before), backends that err by themselves (0.2% at most).

--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -249,9 +249,10 @@
                     && "1".equals(response.headers().get("X-Rejected"));
             if (status.code() == 200) {
                 end(new Answer(Outcome.OK, body, response.headers().get(HttpHeaderNames.CONTENT_TYPE),
-                        report(load)));
+                        report(load), false));
             } else {
-                end(new Answer(turnedAway ? Outcome.FULL : Outcome.ERROR, null, null, report(load)));
+                end(new Answer(turnedAway ? Outcome.FULL : Outcome.ERROR, null, null, report(load),
+                        status.equals(HttpResponseStatus.BAD_REQUEST)));
             }
         }
 
--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -246,8 +246,12 @@
             }
             long now = clock.nowUs();
             try {
-                balancer.outcome(now, held.id, attempt.number, attempt.server, answer.outcome(),
-                        now - attempt.sentAtUs, held.over, answer.report());
+                if (answer.improper()) {
+                    withdraw(now, held);
+                }
+                balancer.outcome(now, held.id, attempt.number, attempt.server,
+                        answer.improper() ? Outcome.CANCELLED : answer.outcome(), now - attempt.sentAtUs,
+                        held.over, answer.report());
             } catch (RuntimeException e) {
                 fault(held, e);
             }
@@ -255,6 +259,15 @@
         });
     }
 
+    /** What no client sent is failed; it speaks neither against the backend nor for another attempt. */
+    private void withdraw(long now, Held held) {
+        if (!held.over) {
+            over(held);
+            held.client.failed();
+            balancer.clientGone(now, held.id);
+        }
+    }
+
     private void fault(Held held, RuntimeException e) {
         System.err.println("request " + held.id + " failed: " + e);
         e.printStackTrace();
--- a/src/test/java/larkworks/proxy/ProxyTest.java
+++ b/src/test/java/larkworks/proxy/ProxyTest.java
@@ -176,6 +176,26 @@
         }
     }
 
+    /** A request under a copied id: it was repeated, had its backends rested, and good ones were refused. */
+    @Test
+    void failsWhatABackendCallsABadRequestAndHoldsItAgainstNobody() throws Exception {
+        try (Bench bench = new Bench(2).start(folder)) {
+            Bench.Client forger = bench.client();
+            for (int i = 0; i < 20; i++) {
+                forger.look("forged");
+                first(bench).reply(400, "");
+                assertEquals(502, forger.status());
+                assertEquals(0, bench.backends.get(0).waiting() + bench.backends.get(1).waiting());
+            }
+            Bench.Client client = bench.client();
+            for (int i = 0; i < 20; i++) {
+                client.look("good " + i);
+                first(bench).reply(200, "good " + i);
+                assertEquals("good " + i, client.answer().text());
+            }
+        }
+    }
+
     @Test
     void refusesARequestWhenNoBackendTakesConnections() throws Exception {
         try (Bench bench = new Bench(1).start(folder)) {
