Close connections that carry no proper request within 2.5 s

Cause: connections of strangers that sent nothing, half a request or only asked for health were kept until descriptors ran short, and then the idle connections to backends went first, so that calls paid for handshakes.

Ruled out: backends that close idle connections early (none before 2 s).

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -32,6 +32,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import larkworks.Balancer.Effect;
 import larkworks.Balancer.RequestClass;
 import larkworks.Balancer.Settings;
@@ -41,6 +43,11 @@
 
     /** Requests that one connection may have waiting behind the one in flight. */
     private static final int MOST_WAITING = 8;
+    /**
+     * A connection that has never carried a proper request is closed after so long without a request. Who
+     * sends nothing, or not enough, is owed that within 3 s; for the first 2 s anybody may take their time.
+     */
+    private static final long STRANGER_MS = 2_500;
 
     private final EventLoop loop;
     private final Sockets sockets;
@@ -191,6 +198,9 @@
         private final ArrayDeque<Waiting> waiting = new ArrayDeque<>(2);
         private boolean busy;
         private Driver.Held held;
+        /** Whether a request came that could be taken: strangers are not to hold descriptors for long. */
+        private boolean proper;
+        private Future<?> silence;
 
         private Connection(Channel channel) {
             this.channel = channel;
@@ -198,12 +208,23 @@
 
         @Override
         public void handlerAdded(ChannelHandlerContext context) {
-            channel.closeFuture().addListener(closed -> sockets.release());
+            channel.closeFuture().addListener(closed -> {
+                silence.cancel(false);
+                sockets.release();
+            });
             if (!sockets.accepted()) {
                 // The next connections wait in the listener's queue until one closes.
                 accept(false);
             }
+            rest();
+        }
+
+        /** Without a request from now on. */
+        private void rest() {
             idle.add(this);
+            if (!proper) {
+                silence = loop.schedule(() -> channel.close(), STRANGER_MS, TimeUnit.MILLISECONDS);
+            }
         }
 
         @Override
@@ -222,6 +243,7 @@
 
         private void handle(FullHttpRequest request, long takenAtUs) {
             busy = true;
+            silence.cancel(false);
             idle.remove(this);
             boolean keep = HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
             if (request.method().equals(HttpMethod.GET) && request.uri().startsWith("/health/")) {
@@ -230,6 +252,7 @@
             }
             try {
                 Driver.Inbound inbound = read(request, takenAtUs);
+                proper = true;
                 held = driver.request(inbound, new Client(this, keep));
                 if (!busy) {
                     held = null;
@@ -280,7 +303,7 @@
             }
             Waiting next = waiting.poll();
             if (next == null) {
-                idle.add(this);
+                rest();
                 return;
             }
             busy = true;
--- a/src/test/java/larkworks/proxy/ProxyTest.java
+++ b/src/test/java/larkworks/proxy/ProxyTest.java
@@ -388,6 +388,27 @@
         }
     }
 
+    /** They held on to the descriptors that calls need. */
+    @Test
+    void closesConnectionsOnWhichNoProperRequestComes() throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            Bench.Client proper = bench.client().look("r");
+            bench.backends.get(0).next().reply(200, "");
+            assertEquals(200, proper.status());
+            Bench.Client silent = bench.client();
+            Bench.Client curious = bench.client();
+            assertEquals(200, ready(curious));
+            Bench.Client partial = bench.client().send("GET /look HTTP/1.1\r\nHost: x\r\nX-Call-Id: 1");
+            Bench.Client bodiless = bench.client().send("POST /act HTTP/1.1\r\nHost: x\r\nX-Call-Id: 2\r\n"
+                    + "X-Call-Class: act\r\nContent-Length: 10\r\n\r\nabc");
+            for (Bench.Client peer : List.of(silent, curious, partial, bodiless)) {
+                assertNull(peer.answer());
+            }
+            assertEquals(200, ready(proper), "a client may pause for longer");
+            assertEquals(0, bench.backends.get(0).waiting());
+        }
+    }
+
     @Test
     void closesIdleConnectionsWhereDescriptorsRunShort() throws Exception {
         try (Bench bench = new Bench(1)) {
