Tell an answer only once all that came with it has been read

Cause: the pool put a connection back to use before it told the answer. A request sent on it at once was given what stood behind that answer in the same read, such as its duplicate: an answer to another request.

Ruled out: a duplicate that comes while the connection is idle; that was closed before and still is.

--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -233,27 +233,15 @@
             end(Answer.of(written ? Outcome.RESET : Outcome.CONNECT_FAILED));
         }
 
-        private void answered(FullHttpResponse response) {
+        private void answered(Answer answer, boolean reusable) {
             Connection used = connection;
-            if (HttpUtil.isKeepAlive(response) && written) {
+            if (reusable && written) {
                 keep(used);
             } else {
                 used.current = null;
                 used.channel.close();
             }
-            HttpResponseStatus status = response.status();
-            byte[] body = ByteBufUtil.getBytes(response.content());
-            String load = response.headers().get("X-Load-Report");
-            // Only this mark proves that the request never ran; any other status may come after its effect.
-            boolean turnedAway = (status.code() == 503 || status.code() == 504)
-                    && "1".equals(response.headers().get("X-Rejected"));
-            if (status.code() == 200) {
-                end(new Answer(Outcome.OK, body, response.headers().get(HttpHeaderNames.CONTENT_TYPE),
-                        report(load), false));
-            } else {
-                end(new Answer(turnedAway ? Outcome.FULL : Outcome.ERROR, null, null, report(load),
-                        status.equals(HttpResponseStatus.BAD_REQUEST)));
-            }
+            end(answer);
         }
 
         private void end(Answer answer) {
@@ -264,11 +252,28 @@
         }
     }
 
+    private static Answer answer(FullHttpResponse response) {
+        HttpResponseStatus status = response.status();
+        LoadReport load = report(response.headers().get("X-Load-Report"));
+        if (status.code() == 200) {
+            return new Answer(Outcome.OK, ByteBufUtil.getBytes(response.content()),
+                    response.headers().get(HttpHeaderNames.CONTENT_TYPE), load, false);
+        }
+        // Only this mark proves that the request never ran; any other status may come after its effect.
+        boolean turnedAway = (status.code() == 503 || status.code() == 504)
+                && "1".equals(response.headers().get("X-Rejected"));
+        return new Answer(turnedAway ? Outcome.FULL : Outcome.ERROR, null, null, load,
+                status.equals(HttpResponseStatus.BAD_REQUEST));
+    }
+
     /** A connection to a backend, with at most one exchange on it. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final InetSocketAddress address;
         private Channel channel;
         private Exchange current;
+        /** The answer to the current exchange, until all that came with it has been read. */
+        private Answer answer;
+        private boolean reusable;
         private boolean released;
         private long idleSince;
         private java.util.concurrent.Future<?> expiry;
@@ -286,16 +291,32 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            if (current == null || response.decoderResult().isFailure()) {
+            if (current == null || answer != null || response.decoderResult().isFailure()) {
                 // Bytes that nobody asked for, or that make no sense: what follows can't be trusted.
+                reusable = false;
                 channel.close();
             } else if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
-                current.answered(response);
+                answer = answer(response);
+                reusable = HttpUtil.isKeepAlive(response);
+            }
+        }
+
+        /**
+         * Only now is the answer told: whoever hears of it may send the next request on this connection, and
+         * that would be given what came behind the answer.
+         */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (answer != null) {
+                Answer told = answer;
+                answer = null;
+                current.answered(told, reusable);
             }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
+            channelReadComplete(context);
             if (current != null) {
                 current.lost();
             } else {
--- a/src/test/java/larkworks/proxy/BackendPoolTest.java
+++ b/src/test/java/larkworks/proxy/BackendPoolTest.java
@@ -154,6 +154,25 @@
         sent.awaitEnd();
     }
 
+    /** The next request was given the second of two answers to the one before. */
+    @Test
+    void givesNoRequestWhatCameBehindTheAnswerToAnother() throws Exception {
+        BackendPool pool = pool(new Sockets(16));
+        InetSocketAddress address = Config.address(backend.address());
+        BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
+        group.next().execute(() -> pool.begin(address, BackendPoolTest::request, first -> {
+            bodies.add(BackendPool.text(first.body()));
+            pool.begin(address, BackendPoolTest::request, next -> bodies.add(BackendPool.text(next.body())));
+        }));
+        String answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+        Peer.Message sent = backend.next();
+        sent.raw(answer + answer);
+        assertEquals("first", bodies.poll(Peer.LIMIT_S, TimeUnit.SECONDS));
+        sent.awaitEnd();
+        backend.next().reply(200, "next");
+        assertEquals("next", bodies.poll(Peer.LIMIT_S, TimeUnit.SECONDS));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {
         "HTTP/1.1 200 OK\r\nContent-Length:2\r\n\r\nab",
