Take an answer without a length that a reset cuts for no answer

Cause: the response reader ends a body without a length with the connection, also when that breaks; the pool then told it as served.

Evidence: a test whose backend sends half a body without a length and resets the connection got it as a good answer in the program as it was.

Ruled out: bodies with a length and chunked ones, which the reader drops when they are cut (inherited test, "cut").

--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -326,6 +326,10 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (current != null && answer == null) {
+                // A body without a length ends with the connection; but one that breaks has not ended.
+                current.lost();
+            }
             context.close();
         }
     }
--- a/src/test/java/larkworks/proxy/BackendPoolTest.java
+++ b/src/test/java/larkworks/proxy/BackendPoolTest.java
@@ -154,6 +154,24 @@
         sent.awaitEnd();
     }
 
+    /** What had come by the reset was served as the whole body. */
+    @Test
+    void takesABodyThatAResetCutsForNoAnswer() throws Exception {
+        BackendPool pool = pool(new Sockets(64));
+        for (int i = 0; i < 20; i++) {
+            begin(pool, backend, request());
+            Peer.Message sent = backend.next();
+            sent.raw("HTTP/1.1 200 OK\r\n\r\nhalf of the bod");
+            sent.reset();
+            assertEquals(Outcome.RESET, outcome());
+        }
+        begin(pool, backend, request());
+        Peer.Message sent = backend.next();
+        sent.raw("HTTP/1.1 200 OK\r\n\r\nall of it");
+        sent.socket().close();
+        assertEquals(Outcome.OK, outcome());
+    }
+
     /** The next request was given the second of two answers to the one before. */
     @Test
     void givesNoRequestWhatCameBehindTheAnswerToAnother() throws Exception {
