Reject a request whose path and X-Call-Class name different classes

Cause: the header alone decided the class. A request for an unsafe path under a safe class's name passed as safe to repeat, and would have been sent a second time after a reset.

Evidence: a test that sends GET /act with X-Call-Class: look had it reach a backend in the program as it was.

Ruled out: a request without the header; its path names the class, and it is taken as before.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -147,9 +147,9 @@
         if (id == null || id.isBlank()) {
             throw new Rejected(HttpResponseStatus.BAD_REQUEST, "no X-Call-Id");
         }
-        String name = headers.get("X-Call-Class");
-        Integer number = classes.get(name != null ? name : firstPart(request.uri()));
-        if (number == null) {
+        String name = firstPart(request.uri());
+        Integer number = classes.get(name);
+        if (number == null || !name.equals(headers.get("X-Call-Class", name))) {
             throw new Rejected(HttpResponseStatus.BAD_REQUEST, "unknown class");
         }
         RequestClass kind = settings.classes().get(number);
--- a/src/test/java/larkworks/proxy/ProxyTest.java
+++ b/src/test/java/larkworks/proxy/ProxyTest.java
@@ -366,6 +366,7 @@
                 List.of("400", "GET /look HTTP/1.1\r\nX-Call-Class: look\r\n\r\n"),
                 List.of("400", "GET /nosuch HTTP/1.1\r\n" + good + "X-Call-Class: nosuch\r\n\r\n"),
                 List.of("400", "GET * HTTP/1.1\r\n" + good + "\r\n"),
+                List.of("400", "GET /act HTTP/1.1\r\n" + good + "X-Call-Class: look\r\n\r\n"),
                 List.of("405", "GET /act HTTP/1.1\r\n" + good + "X-Call-Class: act\r\n\r\n"),
                 List.of("405", "POST /look HTTP/1.1\r\n" + good
                         + "X-Call-Class: look\r\nContent-Length: 0\r\n\r\n"),
