Take an answer in a transfer coding that is not undone for no answer

Cause: only the chunked coding is undone. The body of an answer in another one was passed on still coded, without saying so, which is not the body that the backend meant.

Evidence: tests with "gzip" and "gzip, chunked" had it as a good answer in the program as it was.

Ruled out: chunked answers, with extensions and trailers, which are taken as before (takesEveryFormOfAnAnswerThatHttpAllows).

--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -291,8 +291,10 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            if (current == null || answer != null || response.decoderResult().isFailure()) {
-                // Bytes that nobody asked for, or that make no sense: what follows can't be trusted.
+            if (current == null || answer != null || response.decoderResult().isFailure()
+                    || response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+                // Bytes that nobody asked for, or that make no sense: what follows can't be trusted. Nor is a
+                // body the backend's whose transfer coding the aggregator did not undo.
                 reusable = false;
                 channel.close();
             } else if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
--- a/src/test/java/larkworks/proxy/BackendPoolTest.java
+++ b/src/test/java/larkworks/proxy/BackendPoolTest.java
@@ -140,6 +140,8 @@
         "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nab",
         "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nab",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nno colon\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
         "HTTP/1.1 +200 OK\r\nContent-Length: 2\r\n\r\nab",
         "HTTP/1.1 00200 OK\r\nContent-Length: 2\r\n\r\nab",
         "HTTP/9.9 200 OK\r\nContent-Length: 2\r\n\r\nab",
