Let a test's closed backend refuse connections from the moment close returns

Cause: Peer.close closed its listening socket while another thread sat in accept().

Ruled out: the pool, which told the outcome of every connect that failed; and a new server on the same port, which no test opens.

--- a/src/test/java/larkworks/proxy/Peer.java
+++ b/src/test/java/larkworks/proxy/Peer.java
@@ -4,6 +4,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -26,12 +27,13 @@
     static final long LIMIT_S = 30;
 
     private final ServerSocket listener;
+    private final Thread accepting;
     private final BlockingQueue<Message> received = new LinkedBlockingQueue<>();
     private final List<Socket> sockets = Collections.synchronizedList(new ArrayList<>());
 
     Peer() throws IOException {
         listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        spawn(() -> {
+        accepting = spawn(() -> {
             while (true) {
                 Socket socket = listener.accept();
                 sockets.add(socket);
@@ -75,9 +77,16 @@
         }
     }
 
+    /** Until the accepting thread has left its call, the port still takes connections, closed or not. */
     @Override
     public void close() throws IOException {
         listener.close();
+        try {
+            accepting.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("closed, but maybe still accepting");
+        }
         for (Socket socket : List.copyOf(sockets)) {
             socket.close();
         }
@@ -88,7 +97,7 @@
         void run() throws IOException;
     }
 
-    private static void spawn(Job job) {
+    private static Thread spawn(Job job) {
         Thread thread = new Thread(() -> {
             try {
                 job.run();
@@ -98,6 +107,7 @@
         });
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     /** An HTTP message, a request or a response, with the connection that it came on. */
