Go on probing beside calls while probes seem slow, as only probes show otherwise

Cause: a call asks servers for their load only while probes take at most 2% of its aim, by a mean that only answers to probes move. Once a stall in the proxy's first seconds had lifted the mean above that, no probe was sent and the mean stood still: the copy went without for the rest of its life, and so did its estimate of what a call takes.

Evidence: in captures of one copy each stops probing within 4 to 8 s and never starts again, though answers to probes take 0.2 to 1.2 ms on the wire throughout. Its logged estimates are the same to the last digit at 7.3 and 17.1 s.

Ruled out: the price of probes, and servers that leave them unanswered.

--- a/src/main/java/larkworks/Logic.java
+++ b/src/main/java/larkworks/Logic.java
@@ -420,17 +420,19 @@
     /**
      * Whether the call first waits for probes. With few own calls in flight every server looks idle, those
      * that serve other copies' calls, stall or crawl as well: so the next in turn are asked, and the first
-     * found idle is taken. Acts where probes are cheap and quick.
+     * found idle is taken. Acts where probes are cheap and quick; while they seem slow, one is sent beside
+     * each call, as nothing else would show that they are quick again.
      */
     private boolean asks(long nowUs, Call call) {
-        if (probesEarned == 0 || probeUs > call.kind.aimUs() * PROBE_SHARE_OF_AIM) {
+        if (probesEarned == 0) {
             return false;
         }
+        boolean quick = probeUs <= call.kind.aimUs() * PROBE_SHARE_OF_AIM;
         if (nowUs < call.probeUntilUs) {
-            return true;
+            return quick;
         }
         int sent = 0;
-        int atOnce = reportedLoad < LIGHT_LOAD ? 1 : PROBES_AT_ONCE;
+        int atOnce = reportedLoad < LIGHT_LOAD || !quick ? 1 : PROBES_AT_ONCE;
         while (call.probeRounds < PROBE_ROUNDS && sent < atOnce && probes >= 1) {
             Backend s = null;
             for (Backend b : subset) {
@@ -449,7 +451,7 @@
         }
         call.probeRounds++;
         call.probeUntilUs = nowUs + (long) (OVERDUE * probeUs) + settings.tickUs();
-        return sent > 0;
+        return quick && sent > 0;
     }
 
     private void send(long nowUs, Call call, Backend s) {
--- a/src/test/java/larkworks/LogicTest.java
+++ b/src/test/java/larkworks/LogicTest.java
@@ -706,6 +706,29 @@
             return p;
         }
 
+        @Test
+        void asksAgainOnceProbesThatWereSlowAreQuick() {
+            // A stall of this proxy in its first seconds made it go without probes for the rest of its life.
+            Proxy p = served("a", "b", "c", "d");
+            for (String s : List.of("a", "b", "c", "d")) {
+                p.logic.probeResult(p.now, s, Outcome.OK, 200 * MS, new LoadReport(0, 0, 0));
+            }
+            p.pass(2_000);
+            String slow = p.request(Proxy.SAFE);
+            assertNotNull(p.at(slow), "no call waits for slow probes");
+            p.end(slow, Outcome.OK);
+            int seen = p.done.size();
+            for (int i = 0; i < 40; i++) {
+                String r = p.request(Proxy.SAFE);
+                p.pass(1);
+                answer(p, seen, 0, "");
+                seen = p.done.size();
+                p.pass(300);
+                p.end(r, Outcome.OK);
+            }
+            assertNull(p.at(p.request(Proxy.SAFE)), "waits for the answer to its probe");
+        }
+
         /** Answers the probes sent since a line of the record, but none of the servers that are cut off. */
         private void answer(Proxy p, int since, int inFlight, String cutOff) {
             for (int i = since; i < p.done.size(); i++) {
