Take only whole IP addresses from lists and the configuration

Cause: the check of an address let any digits and dots pass on to InetAddress.getByName, which fills up short forms (1.2.3 is 1.2.0.3) and looks up as a name what is no address, on the loop that serves all clients.

Ruled out: names, which the old check refused as well.

--- a/src/main/java/larkworks/proxy/Config.java
+++ b/src/main/java/larkworks/proxy/Config.java
@@ -1,5 +1,6 @@
 package larkworks.proxy;
 
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -83,15 +84,19 @@
         throw new IllegalArgumentException(key + " is missing or no number");
     }
 
-    /** Reads {@code host:port}, the host an IP address: a look-up of a name would stop the loop. */
+    /** Reads {@code host:port}, the host an IP address in full: a look-up of a name would stop the loop. */
     static InetSocketAddress address(Object value) {
         String text = String.valueOf(value);
         int colon = text.lastIndexOf(':');
-        if (colon <= 0 || !text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
+        String host = text.substring(0, Math.max(0, colon));
+        boolean bracketed = host.startsWith("[") && host.endsWith("]");
+        boolean literal = bracketed ? NetUtil.isValidIpV6Address(host.substring(1, host.length() - 1))
+                : NetUtil.isValidIpV4Address(host);
+        if (!literal) {
             throw new IllegalArgumentException("'" + text + "' is no address and port");
         }
         try {
-            return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)),
+            return new InetSocketAddress(InetAddress.getByName(host),
                     Integer.parseInt(text.substring(colon + 1)));
         } catch (UnknownHostException e) {
             throw new IllegalArgumentException("'" + text + "' is no address and port", e);
