End an attempt at once that is answered 101, as no other protocol was asked for

Cause: BackendPool passed over every status of class 1xx as interim. A 101 ends HTTP on the connection, so no final answer can follow, and the attempt was out until its time ran out.

Evidence: seen in the code; the new case of the test waits in vain without the change.

Ruled out: other interim answers, which HTTP allows and which still pass.

--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -292,9 +292,10 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
             if (current == null || answer != null || response.decoderResult().isFailure()
+                    || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
                     || response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
-                // Bytes that nobody asked for, or that make no sense: what follows can't be trusted. Nor is a
-                // body the backend's whose transfer coding the aggregator did not undo.
+                // Bytes or a protocol that nobody asked for, or that make no sense: what follows can't be
+                // trusted. Nor is a body the backend's whose transfer coding the aggregator did not undo.
                 reusable = false;
                 channel.close();
             } else if (response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
--- a/src/test/java/larkworks/proxy/BackendPoolTest.java
+++ b/src/test/java/larkworks/proxy/BackendPoolTest.java
@@ -146,6 +146,7 @@
         "HTTP/1.1 00200 OK\r\nContent-Length: 2\r\n\r\nab",
         "HTTP/9.9 200 OK\r\nContent-Length: 2\r\n\r\nab",
         "http/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\nab",
         "HTTP/1.1 103 Hints\r\nno colon here\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"})
     void takesNoAnswerThatIsNotHttpToTheLetter(String answer) throws Exception {
         BackendPool pool = pool(new Sockets(16));
