--- a/src/main/java/larkworks/Backend.java
+++ b/src/main/java/larkworks/Backend.java
@@ -13,6 +13,10 @@
     boolean reports;
     double crowd;
     long startedAtUs;
+    /** When the operator's call brought it back, restarted as a rule; 0 where none did. */
+    long returnedAtUs;
+    /** By then it may be used, however long its turn: a server brought back is soon to be seen to work. */
+    long entryByUs = Long.MAX_VALUE;
     boolean up;
     int inFlight;
     /**
--- a/src/main/java/larkworks/Balancer.java
+++ b/src/main/java/larkworks/Balancer.java
@@ -209,6 +209,12 @@
     /** The list of servers, or changes to it. The first call after construction. */
     void serversChanged(long nowUs, ListKind kind, List<Server> servers);
 
+    /**
+     * The operator's word that a server is to be left out from now on, or may serve again. It holds against
+     * whatever the list says, and for servers not listed yet; said twice it says no more than once.
+     */
+    void maintenance(long nowUs, String server, boolean out);
+
     /** A call to discovery failed or its subscription broke; the list held stays in force. */
     void discoveryFailed(long nowUs);
 
--- a/src/main/java/larkworks/Logic.java
+++ b/src/main/java/larkworks/Logic.java
@@ -87,6 +87,8 @@
     private static final int SUBSET = 10;
     /** Copies that must share each server before a subset will do: with fewer, loads would be uneven. */
     private static final int COVER = 4;
+    /** A server brought back gets its first turn by then: half of the 5 s after which it is missed. */
+    private static final long RETURN_US = 2_500_000;
     /** Weight of the newest value in a running mean. */
     private static final double MEAN_WEIGHT = 0.1;
 
@@ -97,6 +99,10 @@
     private final List<Backend> servers = new ArrayList<>();
     /** The servers that take turns here, see {@link #chooseSubset}; others serve while none of these can. */
     private final List<Backend> subset = new ArrayList<>();
+    /** Servers left out by the operator's word, each as the list has it; null where it is not listed. */
+    private final Map<String, Server> out = new HashMap<>();
+    /** When servers came back from that. */
+    private final Map<String, Long> returns = new HashMap<>();
     private final Map<String, Call> calls = new HashMap<>();
     /** Calls for which no server may be used now, oldest first. */
     private final List<Call> waiting = new ArrayList<>();
@@ -172,13 +178,12 @@
             for (Backend s : servers) {
                 s.up = false;
             }
+            out.replaceAll((id, line) -> null);
         }
         for (Server line : list) {
             learn(nowUs, line);
         }
-        servers.removeIf(s -> !s.up && byId.remove(s.id) != null);
-        chooseSubset();
-        meanSize = servers.stream().mapToDouble(s -> s.size).average().orElse(1);
+        settle();
         if (!begun) {
             begun = true;
             askAtUs = settings.watch() ? nowUs : Long.MAX_VALUE;
@@ -190,33 +195,73 @@
         advance(nowUs);
     }
 
+    /** Leaves the servers that are up, and has them take turns. */
+    private void settle() {
+        servers.removeIf(s -> !s.up && byId.remove(s.id) != null);
+        chooseSubset();
+        meanSize = servers.stream().mapToDouble(s -> s.size).average().orElse(1);
+    }
+
+    @Override
+    public void maintenance(long nowUs, String id, boolean leave) {
+        if (leave == out.containsKey(id)) {
+            return;
+        }
+        Backend s = byId.get(id);
+        if (leave) {
+            out.put(id, s == null ? null
+                    : new Server(id, s.startedAtUs, s.zone, s.group, s.size, ServerStatus.UP));
+            if (s != null) {
+                s.up = false;
+            }
+        } else {
+            Server line = out.remove(id);
+            returns.values().removeIf(at -> nowUs - at > settings.rules().coldUs());
+            returns.put(id, nowUs);
+            if (line != null) {
+                learn(nowUs, line);
+                byId.get(id).entryByUs = nowUs + random.nextLong(RETURN_US);
+            }
+        }
+        settle();
+        actions.log("server " + id + (leave ? " is left out" : " may serve again") + ", the operator says");
+        advance(nowUs);
+    }
+
     private void learn(long nowUs, Server line) {
+        if (out.containsKey(line.id())) {
+            out.put(line.id(), line.status() == ServerStatus.UP ? line : null);
+            return;
+        }
         Backend s = byId.get(line.id());
-        boolean restarted = s != null && line.startedAtUs() != s.startedAtUs;
+        // News of the restart during which it was left out may come after its return.
+        boolean restarted = s != null && line.startedAtUs() != s.startedAtUs
+                && (s.returnedAtUs == 0 || line.startedAtUs() > s.returnedAtUs);
         if (line.status() != ServerStatus.UP) {
             if (s != null) {
                 s.up = false;
             }
             return;
         }
-        if (s == null || restarted) {
+        boolean fresh = s == null || restarted;
+        if (fresh) {
             if (s != null) {
                 servers.remove(s);
             }
             s = new Backend(line.id());
-            s.startedAtUs = line.startedAtUs();
-            s.zone = line.zone();
+            s.returnedAtUs = returns.getOrDefault(line.id(), 0L);
             s.turnAtUs = Long.MIN_VALUE + random.nextLong(1L << 32);
             byId.put(s.id, s);
             servers.add(s);
-            if (begun || share(s, nowUs) < 1) {
-                s.entryFromUs = nowUs;
-                s.entryTurns = random.nextDouble();
-            }
         }
+        s.startedAtUs = line.startedAtUs();
         s.zone = line.zone();
         s.group = line.group();
         s.size = line.size();
+        if (fresh && (begun || share(s, nowUs) < 1)) {
+            s.entryFromUs = nowUs;
+            s.entryTurns = random.nextDouble();
+        }
         s.up = true;
     }
 
@@ -263,8 +308,9 @@
     /** The share of its capacity that a server can be trusted to have by now. */
     private double share(Backend s, long nowUs) {
         Rules rules = settings.rules();
-        long age = nowUs - s.startedAtUs;
-        if (s.startedAtUs <= 0 || age >= rules.coldUs()) {
+        long fromUs = Math.max(s.startedAtUs, s.returnedAtUs);
+        long age = nowUs - fromUs;
+        if (fromUs <= 0 || age >= rules.coldUs()) {
             return 1;
         }
         return rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age) / rules.coldUs();
@@ -479,6 +525,7 @@
         }
         s.turnAtUs = nowUs + (long) late;
         s.entryFromUs = nowUs;
+        s.entryByUs = Long.MAX_VALUE;
         s.entryTurns = turnUs(s, nowUs) > paceUs() / s.part ? 0.5 + random.nextDouble() : 0;
         actions.send(call.request.id(), s.id, call.deadlineUs - nowUs);
     }
@@ -518,7 +565,7 @@
     /** When a rest and the wait for entry are over; the wait is reckoned by what the server can do now. */
     private long opensAtUs(long nowUs, Backend s) {
         long entryAtUs = s.entryTurns == 0 ? nowUs : s.entryFromUs + (long) (s.entryTurns * turnUs(s, nowUs));
-        return Math.max(s.restUntilUs, entryAtUs);
+        return Math.max(s.restUntilUs, Math.min(s.entryByUs, entryAtUs));
     }
 
     /** How long the server will take; one too crowded or slow to be in time counts as resting for it. */
--- a/src/main/java/larkworks/adapter/Json.java
+++ b/src/main/java/larkworks/adapter/Json.java
@@ -26,7 +26,11 @@
             if (!parser.isExpectedStartObjectToken()) {
                 throw new IOException("not a JSON object");
             }
-            return readObject(parser);
+            Map<String, Object> object = readObject(parser);
+            if (parser.nextToken() != null) {
+                throw new IOException("more than one JSON object");
+            }
+            return object;
         }
     }
 
--- /dev/null
+++ b/src/main/java/larkworks/proxy/Absences.java
@@ -0,0 +1,60 @@
+package larkworks.proxy;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Base64;
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * The backends called out, kept in a folder that outlives the process: an empty file for each, its name the
+ * backend's id, encoded. Two live processes share the folder, and neither overwrites the other's calls.
+ */
+final class Absences {
+
+    private static final String PREFIX = "out-";
+
+    private final Path folder;
+
+    /** Makes the folder where it is not there yet; each proxy has its own, by the address it listens on. */
+    Absences(Path parent, String listen) throws IOException {
+        folder = Files.createDirectories(parent.resolve("larkworks-" + encoded(listen)));
+    }
+
+    private static String encoded(String text) {
+        return Base64.getUrlEncoder().withoutPadding().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private Path file(String backend) {
+        return folder.resolve(PREFIX + encoded(backend));
+    }
+
+    /** Writes down that the backend is out; once this returns, every process that looks sees it. */
+    void add(String backend) throws IOException {
+        Path file = file(backend);
+        if (!Files.exists(file)) {
+            Files.write(file, new byte[0]);
+        }
+    }
+
+    void remove(String backend) throws IOException {
+        Files.deleteIfExists(file(backend));
+    }
+
+    /** All that are out by now. */
+    Set<String> read() throws IOException {
+        Set<String> backends = new HashSet<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, PREFIX + "*")) {
+            for (Path file : files) {
+                String name = file.getFileName().toString().substring(PREFIX.length());
+                backends.add(new String(Base64.getUrlDecoder().decode(name), StandardCharsets.UTF_8));
+            }
+        } catch (IllegalArgumentException e) {
+            throw new IOException("a file in " + folder + " names no backend", e);
+        }
+        return backends;
+    }
+}
--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -25,6 +25,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -47,6 +48,8 @@
     private final long idleUs;
     /** Idle connections of each backend, the most recently used last. */
     private final Map<InetSocketAddress, ArrayDeque<Connection>> idle = new HashMap<>();
+    /** Backends to which no connection is kept. */
+    private Set<InetSocketAddress> retired = Set.of();
 
     BackendPool(EventLoop loop, Sockets sockets, long connectTimeoutUs, long keepAliveUs) {
         this.loop = loop;
@@ -120,6 +123,10 @@
         if (!connection.channel.isActive()) {
             return;
         }
+        if (retired.contains(connection.address)) {
+            connection.channel.close();
+            return;
+        }
         connection.idleSince = System.nanoTime();
         connection.expiry = loop.schedule(() -> drop(connection), idleUs, TimeUnit.MICROSECONDS);
         idle.computeIfAbsent(connection.address, a -> new ArrayDeque<>()).addLast(connection);
@@ -133,6 +140,17 @@
         connection.channel.close();
     }
 
+    /** To these backends no connection is kept from now on; those in use close when their exchange ends. */
+    void retire(Set<InetSocketAddress> addresses) {
+        retired = addresses;
+        for (InetSocketAddress address : addresses) {
+            ArrayDeque<Connection> free = idle.get(address);
+            while (free != null && !free.isEmpty()) {
+                drop(free.getLast());
+            }
+        }
+    }
+
     /** Closes the connection that was idle longest; false where none is. */
     boolean evict() {
         Connection oldest = null;
--- a/src/main/java/larkworks/proxy/Config.java
+++ b/src/main/java/larkworks/proxy/Config.java
@@ -27,10 +27,12 @@
  * @param keepAliveUs backends close a connection that was idle for so long
  * @param loadReports whether backends tell their load when probed
  * @param known the list of backends as last held, perhaps old; null where there is none
+ * @param admin where the operators' calls come; null where there is no such address
+ * @param state the folder that outlives this process; null where none is named
  */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         Settings settings, List<String> zones, long connectTimeoutUs, long keepAliveUs, boolean loadReports,
-        Listing known) {
+        Listing known, InetSocketAddress admin, Path state) {
 
     /** A configuration that can't be used; the message is for the operator. */
     static final class ConfigException extends Exception {
@@ -42,11 +44,16 @@
     }
 
     static Config read(String file) throws ConfigException {
+        return read(file, Map.of());
+    }
+
+    /** Reads the file; {@code GW_ADMIN_ADDR} goes before what it says, as it is told to one process alone. */
+    static Config read(String file, Map<String, String> environment) throws ConfigException {
         if (file == null || file.isBlank()) {
             throw new ConfigException("GW_CONFIG names no file");
         }
         try {
-            return of(Json.object(Files.readAllBytes(Path.of(file))));
+            return of(Json.object(Files.readAllBytes(Path.of(file))), environment);
         } catch (IOException | RuntimeException e) {
             String why = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
             throw new ConfigException(file + ": " + why + " (" + e.getClass().getSimpleName() + ")");
@@ -55,19 +62,23 @@
         }
     }
 
-    private static Config of(Map<String, Object> top) throws WireException {
+    private static Config of(Map<String, Object> top, Map<String, String> environment) throws WireException {
         Map<?, ?> params = object(top, "settings");
         @SuppressWarnings("unchecked")
         Settings settings = SettingsReader.read((Map<String, Object>) params);
         Map<?, ?> limits = object(params, "limits");
         List<String> zones = params.get("dcs") instanceof List<?> names
                 ? names.stream().map(String::valueOf).toList() : List.of();
+        String own = environment.getOrDefault("GW_ADMIN_ADDR", "");
+        Object admin = own.isBlank() ? top.get("admin_addr") : own;
+        String state = environment.getOrDefault("TMPDIR", "");
         return new Config(address(top.get("listen")), address(top.get("discovery")),
                 Long.parseUnsignedLong(String.valueOf(top.get("seed")), 16),
                 (int) number(object(top, "limits"), "sockets"), settings, zones,
                 number(limits, "connectTimeoutUs"), number(limits, "keepaliveUs"),
                 params.get("loadInfo") instanceof Map<?, ?> info && !"none".equals(info.get("how")),
-                top.get("known") == null ? null : Listing.of(object(top, "known"), zones));
+                top.get("known") == null ? null : Listing.of(object(top, "known"), zones),
+                admin == null ? null : address(admin), state.isBlank() ? null : Path.of(state));
     }
 
     private static Map<?, ?> object(Map<?, ?> parent, String key) {
--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -62,6 +62,7 @@
     private boolean calling;
     private long calledAt;
     private boolean closed;
+    private boolean heard;
 
     Discovery(Config config, EventLoop loop, Sockets sockets, Driver driver) {
         this.address = config.discovery();
@@ -79,6 +80,11 @@
         }
     }
 
+    /** Whether a list has come since the start. */
+    boolean heard() {
+        return heard;
+    }
+
     void close() {
         closed = true;
         if (channel != null) {
@@ -192,6 +198,7 @@
         }
         calling = false;
         silence.cancel(false);
+        heard = true;
         index = listing.index();
         pauseMs = FIRST_PAUSE_MS;
         if (!HttpUtil.isKeepAlive(response)) {
--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import larkworks.Balancer;
 import larkworks.Balancer.Actions;
 import larkworks.Balancer.ListKind;
@@ -115,11 +116,16 @@
     private final BackendPool pool;
     private final Balancer balancer;
     private final Map<String, Backend> backends = new HashMap<>();
+    /** All backends that were ever listed or called out. */
+    private final Set<String> known = new HashSet<>();
+    /** Backends that the operators called out: nothing goes to them, whatever lists say. */
+    private final Set<String> out = new HashSet<>();
     private final Map<String, Held> requests = new HashMap<>();
+    /** Probes without an answer yet. */
+    private final Set<Probe> probes = new HashSet<>();
     private long lastId;
     private boolean deciding;
     private Runnable watch = () -> { };
-    private Runnable idle = () -> { };
 
     Driver(Config config, Clock clock, EventLoop loop, BackendPool pool) {
         this.settings = config.settings();
@@ -135,11 +141,6 @@
         watch = action;
     }
 
-    /** What to do whenever the last request held has ended. */
-    void onIdle(Runnable action) {
-        idle = action;
-    }
-
     Clock clock() {
         return clock;
     }
@@ -150,7 +151,18 @@
 
     /** Whether some backend could be sent a request. */
     boolean canServe() {
-        return backends.values().stream().anyMatch(b -> b.status == ServerStatus.UP);
+        return backends.entrySet().stream()
+                .anyMatch(b -> b.getValue().status == ServerStatus.UP && !out.contains(b.getKey()));
+    }
+
+    /** Whether the backend was ever listed or called out. */
+    boolean knows(String backend) {
+        return known.contains(backend);
+    }
+
+    /** The backends that are called out. */
+    Set<String> out() {
+        return Set.copyOf(out);
     }
 
     // ---- events
@@ -163,6 +175,7 @@
             for (Listing.Entry entry : entries) {
                 servers.add(entry.server());
                 listed.add(entry.server().id());
+                known.add(entry.server().id());
                 Backend b = backends.computeIfAbsent(entry.server().id(), id -> new Backend());
                 b.address = entry.address() == null ? b.address : entry.address();
                 down(now, b, entry.server().status());
@@ -177,9 +190,44 @@
             balancer.serversChanged(now, kind, servers);
             // Attempts that are still connecting keep their backend, and so the time it went down.
             backends.values().removeIf(b -> b.status == ServerStatus.GONE);
+            retire();
         });
     }
 
+    /** The operator's call about a backend: from now on it is left out, or may serve again. */
+    void maintenance(String server, boolean leave) {
+        if (!(leave ? out.add(server) : out.remove(server))) {
+            return;
+        }
+        known.add(server);
+        retire();
+        if (leave) {
+            endConnecting(server);
+        }
+        enter(() -> balancer.maintenance(clock.nowUs(), server, leave));
+    }
+
+    private void retire() {
+        pool.retire(out.stream().map(backends::get).filter(b -> b != null && b.address != null)
+                .map(b -> b.address).collect(Collectors.toSet()));
+    }
+
+    /** Ends what is on its way to a backend and has not begun. */
+    private void endConnecting(String server) {
+        List<Try> tries = requests.values().stream().flatMap(held -> held.tries.stream())
+                .filter(t -> !t.ended && t.server.equals(server) && !t.exchange.begun()).toList();
+        for (Try attempt : tries) {
+            attempt.exchange.abandon();
+            loop.execute(() -> ended(attempt, Answer.of(Outcome.NOT_SENT)));
+        }
+        List<Probe> asking = probes.stream()
+                .filter(p -> p.server.equals(server) && !p.exchange.begun()).toList();
+        for (Probe probe : asking) {
+            probe.exchange.abandon();
+            loop.execute(() -> probed(probe, Answer.of(Outcome.NOT_SENT)));
+        }
+    }
+
     private static void down(long now, Backend b, ServerStatus status) {
         if (status != ServerStatus.UP && (b.status == null || b.status == ServerStatus.UP)) {
             b.downSinceUs = now;
@@ -280,8 +328,8 @@
     }
 
     private void forget(Held held) {
-        if (held.over && held.out == 0 && requests.remove(held.id) != null && requests.isEmpty()) {
-            idle.run();
+        if (held.over && held.out == 0) {
+            requests.remove(held.id);
         }
     }
 
@@ -316,7 +364,7 @@
         held.out++;
         attempt.untilUs = timeoutUs > 0 ? Math.min(held.deadlineUs, now + timeoutUs) : held.deadlineUs;
         Backend backend = backends.get(server);
-        if (backend == null || held.over || attempt.untilUs <= now
+        if (backend == null || out.contains(server) || held.over || attempt.untilUs <= now
                 || held.tries.size() > settings.limits().maxAttempts()) {
             ended(attempt, Answer.of(Outcome.NOT_SENT));
             return;
@@ -344,7 +392,7 @@
         boolean down = backend.status != ServerStatus.UP
                 && now >= backend.downSinceUs + settings.rules().drainGraceUs() - GRACE_MARGIN_US;
         long leftMs = (attempt.untilUs - now) / 1000;
-        if (attempt.ended || attempt.held.over || down || leftMs <= 0) {
+        if (attempt.ended || attempt.held.over || down || out.contains(attempt.server) || leftMs <= 0) {
             return null;
         }
         Inbound in = attempt.held.inbound;
@@ -407,39 +455,52 @@
     @Override
     public void probe(String server) {
         Backend backend = backends.get(server);
-        long sentAtUs = clock.nowUs();
-        if (backend == null) {
-            probed(server, sentAtUs, Answer.of(Outcome.NOT_SENT));
+        Probe probe = new Probe(server, clock.nowUs());
+        probes.add(probe);
+        if (backend == null || out.contains(server)) {
+            probed(probe, Answer.of(Outcome.NOT_SENT));
             return;
         }
-        Probe probe = new Probe();
         probe.timeout = loop.schedule(() -> {
             probe.exchange.abandon();
-            probed(server, sentAtUs, Answer.of(Outcome.TIMEOUT));
+            probed(probe, Answer.of(Outcome.TIMEOUT));
         }, PROBE_US, TimeUnit.MICROSECONDS);
         probe.exchange = pool.begin(backend.address, () -> {
+            if (out.contains(server)) {
+                return null;
+            }
             FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                     loadReports ? "/stats" : "/health/live", Unpooled.EMPTY_BUFFER);
             message.headers().set(HttpHeaderNames.HOST, host(backend.address));
             return message;
-        }, answer -> {
-            probe.timeout.cancel(false);
-            probed(server, sentAtUs, answer);
-        });
+        }, answer -> probed(probe, answer));
     }
 
     /** A probe that is out. */
     private static final class Probe {
+        final String server;
+        final long sentAtUs;
         BackendPool.Exchange exchange;
         Future<?> timeout;
+
+        Probe(String server, long sentAtUs) {
+            this.server = server;
+            this.sentAtUs = sentAtUs;
+        }
     }
 
-    private void probed(String server, long sentAtUs, Answer answer) {
+    private void probed(Probe probe, Answer answer) {
+        if (!probes.remove(probe)) {
+            return;
+        }
+        if (probe.timeout != null) {
+            probe.timeout.cancel(false);
+        }
         enter(() -> {
             long now = clock.nowUs();
             LoadReport report = answer.report() != null ? answer.report()
                     : loadReports ? BackendPool.report(BackendPool.text(answer.body())) : null;
-            balancer.probeResult(now, server, answer.outcome(), now - sentAtUs, report);
+            balancer.probeResult(now, probe.server, answer.outcome(), now - probe.sentAtUs, report);
         });
     }
 
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -11,8 +12,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -24,11 +26,16 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.net.SocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -58,6 +65,8 @@
     /** Connections without a request, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
     private Channel listener;
+    private ServerSocketChannel accepting;
+    private int connections;
     private boolean warm;
     private boolean draining;
 
@@ -75,22 +84,43 @@
         sockets.onFreed(() -> accept(true));
     }
 
-    ChannelFuture listen(SocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+    /**
+     * Listens for clients.
+     *
+     * @param shared whether another process of this proxy may listen at the same address
+     */
+    ChannelFuture listen(SocketAddress address, boolean shared) {
+        ServerBootstrap bootstrap = new ServerBootstrap().group(loop)
+                .channelFactory(() -> {
+                    accepting = open();
+                    return new NioServerSocketChannel(accepting);
+                })
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
+                .childHandler(new ChannelInitializer<Channel>() {
                     @Override
-                    protected void initChannel(SocketChannel channel) {
+                    protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpServerCodec(),
                                 new HttpObjectAggregator(BackendPool.MOST_BODY), new Connection(channel));
                     }
-                }).bind(address);
+                });
+        if (shared) {
+            bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        }
+        ChannelFuture bound = bootstrap.bind(address);
         listener = bound.channel();
         return bound;
     }
 
+    private static ServerSocketChannel open() {
+        try {
+            return ServerSocketChannel.open();
+        } catch (IOException e) {
+            throw new ChannelException("no socket to listen with", e);
+        }
+    }
+
     /** From now on ready, while some backend could be sent a request. */
     void ready() {
         warm = true;
@@ -101,12 +131,38 @@
         draining = true;
     }
 
-    /** Takes no further connections and closes those without a request. */
+    /**
+     * Takes no further connections, but for those already in the listener's queue, which would be reset; and
+     * closes those that have carried a request and carry none now. The others may have one on the way: they
+     * go once it is answered, or as strangers.
+     */
     void stopListening() {
-        listener.close();
-        while (evict()) {
-            // Closes one after the other.
+        if (listener == null || !listener.isOpen()) {
+            return;
         }
+        try {
+            SocketChannel waiting = accepting.accept();
+            while (waiting != null) {
+                listener.pipeline().fireChannelRead(new NioSocketChannel(listener, waiting));
+                waiting = accepting.accept();
+            }
+            listener.pipeline().fireChannelReadComplete();
+        } catch (IOException e) {
+            System.err.println("larkworks: connections in the queue are lost: " + e);
+        }
+        listener.close();
+        List.copyOf(idle).stream().filter(connection -> connection.proper)
+                .forEach(connection -> connection.channel.close());
+    }
+
+    /** Whether some client's connection is open. */
+    boolean hasConnections() {
+        return connections > 0;
+    }
+
+    /** Whether clients find this process at their address, and requests some backend. */
+    boolean serves() {
+        return warm && !draining && driver.canServe();
     }
 
     /** Closes the connection that was idle longest; false where none is. */
@@ -208,7 +264,9 @@
 
         @Override
         public void handlerAdded(ChannelHandlerContext context) {
+            connections++;
             channel.closeFuture().addListener(closed -> {
+                connections--;
                 silence.cancel(false);
                 sockets.release();
             });
@@ -270,7 +328,7 @@
         private HttpResponseStatus health(String uri) {
             return switch (uri) {
                 case "/health/live" -> HttpResponseStatus.OK;
-                case "/health/ready" -> warm && !draining && driver.canServe() ? HttpResponseStatus.OK
+                case "/health/ready" -> serves() ? HttpResponseStatus.OK
                         : HttpResponseStatus.SERVICE_UNAVAILABLE;
                 default -> HttpResponseStatus.NOT_FOUND;
             };
@@ -328,7 +386,7 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             // Most often a reset by the client; channelInactive follows and ends what it asked for.
-            if (!(cause instanceof java.io.IOException)) {
+            if (!(cause instanceof IOException)) {
                 System.err.println("client connection: " + cause);
             }
             context.close();
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -1,38 +1,49 @@
 package larkworks.proxy;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Promise;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import larkworks.Balancer.ListKind;
 import larkworks.Balancer.RequestClass;
+import larkworks.proxy.Config.ConfigException;
 
 /** One proxy: its parts and its life from start to SIGTERM. */
 public final class Main {
 
     /** New connections come for up to 0.4 s after SIGTERM; each still gets its answers. */
     private static final long ACCEPT_MS = 700;
+    /** How often it is seen whether all is finished. */
+    private static final long END_LOOK_MS = 10;
     /** After the longest deadline, SIGKILL comes no sooner than 0.7 s. */
     private static final long FINISH_MS = 500;
 
+    /** With a second address, so long is waited for the first list; then the one known from before serves. */
+    private static final long LIST_WAIT_MS = 2_500;
+    /** How often it is seen whether that list has come. */
+    private static final long LIST_LOOK_MS = 20;
+
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final CountDownLatch warm = new CountDownLatch(1);
     private final CountDownLatch finished = new CountDownLatch(1);
     private final Config config;
     private final Sockets sockets;
     private final Driver driver;
     private final Frontend frontend;
     private final Discovery discovery;
+    private final Promise<InetSocketAddress> serving = loop.newPromise();
 
     Main(Config config) {
         this.config = config;
-        sockets = new Sockets(config.sockets());
+        sockets = new Sockets(config.sockets(), config.admin() == null ? 0 : Admin.MOST_CONNECTIONS + 1);
         BackendPool pool = new BackendPool(loop, sockets, config.connectTimeoutUs(), config.keepAliveUs());
         driver = new Driver(config, new Clock(), loop, pool);
         frontend = new Frontend(config, loop, sockets, driver);
@@ -44,44 +55,107 @@
     public static void main(String[] args) throws InterruptedException {
         try {
             String file = System.getenv("GW_CONFIG");
-            Main main = new Main(Config.read(file));
+            Main main = new Main(Config.read(file, System.getenv()));
             HangUp.handle(() -> main.reload(file));
             main.start();
             Runtime.getRuntime().addShutdownHook(new Thread(main::finish));
-        } catch (Config.ConfigException e) {
+            main.awaitServing();
+        } catch (ConfigException e) {
             System.err.println("larkworks: " + e.getMessage());
             System.exit(2);
         }
     }
 
-    /** Starts everything and returns the listener, once it is bound. */
-    Channel start() throws InterruptedException {
+    /**
+     * Starts everything. Without a second address clients are listened for at once; with one another process
+     * may serve them still, so that this one takes its part only when it can serve.
+     */
+    void start() throws ConfigException, InterruptedException {
+        boolean shared = config.admin() != null;
+        Maintenance maintenance = shared ? maintenance() : null;
         loop.submit(() -> {
             driver.listChanged(ListKind.REMEMBERED,
                     config.known() == null ? List.of() : config.known().entries());
+            if (shared) {
+                maintenance.start();
+            }
             discovery.start();
         }).sync();
-        Channel listener = frontend.listen(config.listen()).sync().channel();
+        if (shared) {
+            await(new Admin(loop, frontend::serves, maintenance).listen(config.admin()), config.admin());
+        }
+        // Warming up at the shared address would reach the other process, and backends through it.
+        InetSocketAddress first = shared ? new InetSocketAddress(config.listen().getAddress(), 0)
+                : config.listen();
+        Channel listener = await(frontend.listen(first, false), first);
         InetSocketAddress self = (InetSocketAddress) listener.localAddress();
         loop.execute(() -> Warmup.run(config, loop, sockets, self, () -> {
-            frontend.ready();
-            warm.countDown();
+            if (shared) {
+                listener.close();
+                serveOnceListed(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIST_WAIT_MS));
+            } else {
+                serve(self);
+            }
         }));
-        return listener;
+    }
+
+    private Maintenance maintenance() throws ConfigException {
+        try {
+            return new Maintenance(config, loop, driver);
+        } catch (IOException e) {
+            throw new ConfigException("calls about backends can't be kept in TMPDIR: " + e);
+        }
+    }
+
+    private static Channel await(ChannelFuture bound, InetSocketAddress address)
+            throws ConfigException, InterruptedException {
+        bound.await();
+        if (!bound.isSuccess()) {
+            throw new ConfigException("can't listen at " + address + ": " + bound.cause().getMessage());
+        }
+        return bound.channel();
+    }
+
+    /** The list known from the configuration may be old, so a new one is waited for, but not for long. */
+    private void serveOnceListed(long untilNanos) {
+        boolean waited = discovery.heard() || System.nanoTime() - untilNanos > 0;
+        if (!waited || !driver.canServe()) {
+            loop.schedule(() -> serveOnceListed(untilNanos), LIST_LOOK_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        ChannelFuture bound = frontend.listen(config.listen(), true);
+        bound.addListener(done -> {
+            if (done.isSuccess()) {
+                serve((InetSocketAddress) bound.channel().localAddress());
+            } else {
+                serving.tryFailure(done.cause());
+            }
+        });
+    }
+
+    private void serve(InetSocketAddress address) {
+        frontend.ready();
+        serving.trySuccess(address);
     }
 
     /** Turns to the discovery that the replaced file names; all else in it waits for a restart. */
     private synchronized void reload(String file) {
         try {
-            InetSocketAddress named = Config.read(file).discovery();
+            InetSocketAddress named = Config.read(file, System.getenv()).discovery();
             loop.execute(() -> discovery.moveTo(named));
-        } catch (Config.ConfigException e) {
+        } catch (ConfigException e) {
             System.err.println("larkworks: the old configuration is kept: " + e.getMessage());
         }
     }
 
-    void awaitWarm() throws InterruptedException {
-        warm.await();
+    /** Waits until the proxy serves, and tells where. */
+    InetSocketAddress awaitServing() throws ConfigException, InterruptedException {
+        serving.await();
+        if (!serving.isSuccess()) {
+            throw new ConfigException("can't listen at " + config.listen() + ": "
+                    + serving.cause().getMessage());
+        }
+        return serving.getNow();
     }
 
     /** Finishes what was taken, while the JVM waits for this before it exits. */
@@ -90,10 +164,7 @@
             frontend.drain();
             loop.schedule(() -> {
                 frontend.stopListening();
-                driver.onIdle(() -> loop.schedule(finished::countDown, 20, TimeUnit.MILLISECONDS));
-                if (driver.isIdle()) {
-                    finished.countDown();
-                }
+                endWhenIdle();
             }, ACCEPT_MS, TimeUnit.MILLISECONDS);
         });
         long longestUs = config.settings().classes().stream().mapToLong(RequestClass::deadlineUs).max()
@@ -107,6 +178,15 @@
         }
     }
 
+    /** All answers have then left: each closes its connection. */
+    private void endWhenIdle() {
+        if (driver.isIdle() && !frontend.hasConnections()) {
+            finished.countDown();
+        } else {
+            loop.schedule(this::endWhenIdle, END_LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Ends the proxy at once. */
     void close() {
         loop.execute(discovery::close);
--- /dev/null
+++ b/src/main/java/larkworks/proxy/Maintenance.java
@@ -0,0 +1,81 @@
+package larkworks.proxy;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The operators' calls about backends: keeps them where they outlive the process, tells the driver, and sees
+ * the calls that came to another process of this proxy, as during a replacement two are alive.
+ */
+final class Maintenance {
+
+    /** What became of a call. */
+    enum Result { DONE, UNKNOWN, NOT_KEPT }
+
+    /** Looks for the other process's calls in each fifth of the grace that a drain has; a look is cheap. */
+    private static final int LOOKS_IN_GRACE = 5;
+    private static final long LEAST_PAUSE_US = 10_000;
+
+    private final EventLoop loop;
+    private final Driver driver;
+    private final long pauseUs;
+    /** Null where no folder outlives this process: calls then hold as long as it lives. */
+    private final Absences kept;
+    private boolean failing;
+
+    Maintenance(Config config, EventLoop loop, Driver driver) throws IOException {
+        this.loop = loop;
+        this.driver = driver;
+        this.pauseUs = Math.max(LEAST_PAUSE_US, config.settings().rules().drainGraceUs() / LOOKS_IN_GRACE);
+        this.kept = config.state() == null ? null : new Absences(config.state(), config.listen().toString());
+    }
+
+    /** Takes up what was called before; to be run on the loop, before the first request. */
+    void start() {
+        if (kept == null) {
+            System.err.println("larkworks: TMPDIR is not set, calls about backends end with this process");
+            return;
+        }
+        look();
+    }
+
+    private void look() {
+        try {
+            Set<String> told = kept.read();
+            told.forEach(backend -> driver.maintenance(backend, true));
+            for (String backend : driver.out()) {
+                if (!told.contains(backend)) {
+                    driver.maintenance(backend, false);
+                }
+            }
+            failing = false;
+        } catch (IOException e) {
+            if (!failing) {
+                System.err.println("larkworks: can't look for backends called out: " + e);
+            }
+            failing = true;
+        }
+        loop.schedule(this::look, pauseUs, TimeUnit.MICROSECONDS);
+    }
+
+    /** Leaves a backend out, or lets it serve again. */
+    Result call(String backend, boolean leave) {
+        if (!driver.knows(backend)) {
+            return Result.UNKNOWN;
+        }
+        try {
+            if (kept != null && leave) {
+                kept.add(backend);
+            } else if (kept != null) {
+                kept.remove(backend);
+            }
+        } catch (IOException e) {
+            System.err.println("larkworks: a call about " + backend + " can't be kept: " + e);
+            return Result.NOT_KEPT;
+        }
+        driver.maintenance(backend, leave);
+        return Result.DONE;
+    }
+}
--- a/src/main/java/larkworks/proxy/Sockets.java
+++ b/src/main/java/larkworks/proxy/Sockets.java
@@ -19,8 +19,10 @@
     private Runnable freed = () -> { };
     private int open;
 
-    Sockets(int limit) {
-        this.most = Math.max(2, limit - Math.min(RESERVE, limit / 2));
+    /** Divides the limit; {@code apart} of it are for connections that are not counted here. */
+    Sockets(int limit, int apart) {
+        int left = limit - apart;
+        this.most = Math.max(2, left - Math.min(RESERVE, left / 2));
         this.mostForBackends = Math.max(1, most - most / 8);
     }
 
--- a/src/main/java/larkworks/proxy/Training.java
+++ b/src/main/java/larkworks/proxy/Training.java
@@ -12,7 +12,7 @@
     public static void main(String[] args) throws Exception {
         Main main = new Main(Config.read(args[0]));
         main.start();
-        main.awaitWarm();
+        main.awaitServing();
         main.close();
     }
 }
--- a/src/test/java/larkworks/LogicTest.java
+++ b/src/test/java/larkworks/LogicTest.java
@@ -1086,4 +1086,98 @@
         assertThrows(IllegalArgumentException.class, () -> new Logic(null, 1, null));
         assertFalse(new Proxy(setup()).did("anything"));
     }
+
+    /** Servers left out by the operator's word. */
+    @Nested
+    class Maintenance {
+
+        private final Proxy p = new Proxy(setup()).with("a", "b", "c");
+
+        @Test
+        void nothingGoesToAServerLeftOutWhateverTheListSays() {
+            p.logic.maintenance(p.now, "a", true);
+            p.logic.maintenance(p.now, "a", true);
+            p.change("a", p.now, ServerStatus.UP);
+            for (int i = 0; i < 12; i++) {
+                assertNotEquals("a", p.serve());
+            }
+            p.with("a", "b", "c");
+            p.pass(5_000);
+            for (int i = 0; i < 12; i++) {
+                assertNotEquals("a", p.serve());
+            }
+        }
+
+        @Test
+        void oneCallBackUndoesTwoCallsOutAndTheServerIsSoonUsed() {
+            p.logic.maintenance(p.now, "a", true);
+            p.logic.maintenance(p.now, "a", true);
+            p.pass(3_000);
+            p.logic.maintenance(p.now, "a", false);
+            assertTrue(usedWithin(5_000, 300), "an idle copy's few calls reach it");
+        }
+
+        @Test
+        void aServerBroughtBackIsColdThoughTheListDoesNotSaySo() {
+            Proxy busy = new Proxy(setup()).with("a", "b", "c", "d");
+            for (int i = 0; i < 200; i++) {
+                busy.serve();
+            }
+            busy.logic.maintenance(busy.now, "a", true);
+            busy.pass(1_000);
+            busy.logic.maintenance(busy.now, "a", false);
+            // Its restart becomes known later, and is the same.
+            busy.change("a", busy.now - 500 * MS, ServerStatus.UP);
+            int taken = 0;
+            for (int i = 0; i < 40; i++) {
+                taken += "a".equals(busy.serve()) ? 1 : 0;
+            }
+            assertTrue(taken >= 1 && taken <= 6, "a warm one would take 10 of 40 turns, this one: " + taken);
+        }
+
+        @Test
+        void callsThatWaitAndRetriesPassItBy() {
+            String first = p.request(Proxy.SAFE);
+            String server = p.at(first);
+            p.logic.maintenance(p.now, server, true);
+            p.end(first, Outcome.NOT_SENT);
+            assertNotEquals(server, p.at(first));
+        }
+
+        @Test
+        void anIdThatIsNotListedYetIsLeftOutOnceItIs() {
+            p.logic.maintenance(p.now, "d", true);
+            p.change("d", 0, ServerStatus.UP);
+            p.pass(5_000);
+            for (int i = 0; i < 12; i++) {
+                assertNotEquals("d", p.serve());
+            }
+            p.logic.maintenance(p.now, "d", false);
+            boolean used = false;
+            for (int i = 0; i < 100; i++) {
+                used |= "d".equals(p.serve());
+            }
+            assertTrue(used);
+        }
+
+        @Test
+        void aServerGoneFromTheListWhileOutIsNotUsedAfterTheCallBack() {
+            p.logic.maintenance(p.now, "a", true);
+            p.logic.serversChanged(p.now, ListKind.WHOLE,
+                    List.of(new Server("b", 0, 0, 0, 1, ServerStatus.UP)));
+            p.logic.maintenance(p.now, "a", false);
+            p.pass(5_000);
+            assertEquals("b", p.serve());
+            assertEquals("b", p.serve());
+        }
+
+        private boolean usedWithin(long ms, long gapMs) {
+            boolean used = false;
+            for (long at = 0; at < ms; at += gapMs) {
+                used |= "a".equals(p.serve());
+                p.pass(gapMs - 50);
+            }
+            return used;
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/larkworks/proxy/AdminTest.java
@@ -0,0 +1,243 @@
+package larkworks.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The operators' address. */
+@Timeout(120)
+class AdminTest {
+
+    @TempDir
+    Path folder;
+
+    private int admin;
+    private Bench bench;
+
+    @BeforeEach
+    void prepare() throws IOException {
+        admin = Bench.freePort();
+        bench = new Bench(2);
+        bench.environment = Map.of("GW_ADMIN_ADDR", "127.0.0.1:" + admin, "TMPDIR", folder.toString());
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        bench.close();
+    }
+
+    /** Starts the proxy and lets discovery tell it all backends. */
+    private void start() throws Exception {
+        bench.list(bench.all(7));
+        bench.start(folder, bench.all(7));
+    }
+
+    private int call(String method, String path, String body) throws IOException {
+        return Bench.call(admin, method, path, body);
+    }
+
+    private int backend(String way, String id) throws IOException {
+        return call("PUT", "/ops/backends/" + way, "{\"who\":\"" + id + "\"}");
+    }
+
+    /** The backend that serves the next request. */
+    private int served() throws Exception {
+        Bench.Client client = bench.client().look("r");
+        while (true) {
+            for (int i = 0; i < 2; i++) {
+                if (bench.backends.get(i).waiting() > 0) {
+                    bench.backends.get(i).next().reply(200, "");
+                    assertEquals(200, client.status());
+                    return i;
+                }
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    void isReadyOnlyOnceTheProxyCanServe() throws Exception {
+        Thread starting = new Thread(() -> {
+            try {
+                bench.start(folder, "null");
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        starting.start();
+        Peer.Message asked = bench.discovery.next();
+        assertEquals(503, Bench.awaitCall(admin, "GET", "/ops/readiness"));
+        asked.reply(200, bench.all(7));
+        starting.join();
+        assertEquals(200, call("GET", "/ops/readiness", ""));
+    }
+
+    @Test
+    void servesWithTheListFromBeforeWhereDiscoveryIsSilent() throws Exception {
+        long from = System.nanoTime();
+        bench.start(folder);
+        assertEquals(200, call("GET", "/ops/readiness", ""));
+        long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
+        assertTrue(tookMs < 5_500, "the platform waits for 6 s, this took " + tookMs);
+    }
+
+    @Test
+    void leavesABackendOutUntilTheCallBackWhateverTheListSays() throws Exception {
+        start();
+        assertEquals(200, backend("down", "b0"));
+        assertEquals(200, backend("down", "b0"));
+        for (int i = 0; i < 4; i++) {
+            assertEquals(1, served());
+        }
+        bench.list(Bench.list(8, false, bench.entry(0, "in_service")));
+        for (int i = 0; i < 4; i++) {
+            assertEquals(1, served());
+        }
+        assertEquals(200, backend("up", "b0"));
+        assertEquals(200, backend("up", "b0"), "it may be said again");
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (served() != 0) {
+            assertTrue(System.nanoTime() < until, "unused for 5 s");
+        }
+    }
+
+    @Test
+    void closesIdleConnectionsToABackendThatIsLeftOut() throws Exception {
+        start();
+        assertEquals(200, backend("down", "b1"));
+        Bench.Client client = bench.client().look("r");
+        Peer.Message sent = bench.backends.get(0).next();
+        sent.reply(200, "");
+        assertEquals(200, client.status());
+        assertEquals(200, backend("up", "b1"));
+        assertEquals(200, backend("down", "b0"));
+        sent.awaitEnd();
+    }
+
+    @Test
+    void keepsWhatWasCalledOutOverAnotherStart() throws Exception {
+        start();
+        assertEquals(200, backend("down", "b0"));
+        bench.stop();
+        start();
+        for (int i = 0; i < 4; i++) {
+            assertEquals(1, served());
+        }
+        assertEquals(200, backend("up", "b0"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "PUT | /ops/backends/down | {\"who\":\"nobody\"}",
+        "PUT | /ops/backends/up | {\"who\":\"nobody\"}",
+        "PUT | /ops/backends/down | {\"who\":\"b0\"",
+        "PUT | /ops/backends/down | {\"who\":\"b0\"} {}",
+        "PUT | /ops/backends/down | [\"b0\"]",
+        "PUT | /ops/backends/down | {\"who\":7}",
+        "PUT | /ops/backends/down | {\"id\":\"b0\"}",
+        "PUT | /ops/backends/down | ''",
+        "POST | /ops/backends/down | {\"who\":\"b0\"}",
+        "GET | /ops/backends/down | {\"who\":\"b0\"}",
+        "PUT | /ops/backends | {\"who\":\"b0\"}",
+        "PUT | /ops/readiness | ''",
+        "GET | /ops | ''",
+    })
+    void saysNoToABadCallAndChangesNothing(String method, String path, String body) throws Exception {
+        start();
+        int status = call(method, path, body);
+        assertTrue(status >= 400 && status < 500, "status " + status);
+        assertTrue(served() + served() == 1, "both backends take turns");
+    }
+
+    @Test
+    void saysNoToAnOversizedBody() throws Exception {
+        start();
+        assertEquals(413, backend("down", "b0" + " ".repeat(100_000)));
+        assertTrue(served() + served() == 1, "both backends take turns");
+    }
+
+    @Test
+    void answersAtOnceWhereManyCallersSendNothingOrHalfACall() throws Exception {
+        start();
+        List<Socket> crowd = new ArrayList<>();
+        try {
+            for (int i = 0; i < 200; i++) {
+                Socket caller = new Socket(InetAddress.getByName("127.0.0.1"), admin);
+                crowd.add(caller);
+                if (i % 2 == 0) {
+                    caller.getOutputStream().write("PUT /ops/backends/down HT".getBytes());
+                }
+                if (i % 10 == 0) {
+                    long from = System.nanoTime();
+                    assertEquals(200, call("GET", "/ops/readiness", ""));
+                    assertTrue(System.nanoTime() - from < TimeUnit.SECONDS.toNanos(1));
+                }
+            }
+            long from = System.nanoTime();
+            for (Socket caller : crowd) {
+                caller.setSoTimeout(10_000);
+                assertNull(readOrReset(caller), "closed, not answered");
+            }
+            assertTrue(System.nanoTime() - from < TimeUnit.SECONDS.toNanos(3), "all are closed within 3 s");
+        } finally {
+            for (Socket caller : crowd) {
+                caller.close();
+            }
+        }
+    }
+
+    /** Null once the connection has ended, in whatever way. */
+    private static Peer.Message readOrReset(Socket socket) throws IOException {
+        try {
+            return Peer.Message.read(new BufferedInputStream(socket.getInputStream()), socket,
+                    new java.util.concurrent.CountDownLatch(1));
+        } catch (java.net.SocketException reset) {
+            return null;
+        }
+    }
+
+    @Test
+    void theConfigurationNamesTheAddressWhereTheEnvironmentDoesNot() throws Exception {
+        bench.environment = Map.of();
+        bench.more = "\"admin_addr\":\"127.0.0.1:" + admin + "\",";
+        start();
+        assertEquals(200, call("GET", "/ops/readiness", ""));
+        assertEquals(200, backend("down", "b0"), "without TMPDIR the call holds for this process");
+        assertEquals(1, served());
+    }
+
+    @Test
+    void anAddressThatCanNotBeUsedFailsTheStart() throws Exception {
+        Path file = Files.writeString(folder.resolve("c.json"), bench.config(0, "null"));
+        assertThrowsConfig(() -> Config.read(file.toString(), Map.of("GW_ADMIN_ADDR", "here:1")));
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            bench.environment = Map.of("GW_ADMIN_ADDR", "127.0.0.1:" + taken.getLocalPort());
+            assertThrowsConfig(() -> bench.start(folder));
+        }
+    }
+
+    private static void assertThrowsConfig(org.junit.jupiter.api.function.Executable start) {
+        String message = org.junit.jupiter.api.Assertions
+                .assertThrows(Config.ConfigException.class, start).getMessage();
+        assertEquals(1, message.lines().count(), message);
+    }
+}
--- a/src/test/java/larkworks/proxy/BackendPoolTest.java
+++ b/src/test/java/larkworks/proxy/BackendPoolTest.java
@@ -64,7 +64,7 @@
     /** Running out says nothing of the backend: the attempt was not sent, and the next one may be. */
     @Test
     void endsAnAttemptAsNotSentWhereNoDescriptorIsLeft() throws Exception {
-        BackendPool pool = pool(new Sockets(4));
+        BackendPool pool = pool(new Sockets(4, 0));
         begin(pool, backend, request());
         begin(pool, backend, request());
         Peer.Message first = backend.next();
@@ -82,7 +82,7 @@
     @Test
     void closesAnIdleConnectionToMakeRoomForAnotherBackend() throws Exception {
         try (Peer other = new Peer()) {
-            Sockets sockets = new Sockets(2);
+            Sockets sockets = new Sockets(2, 0);
             BackendPool pool = pool(sockets);
             sockets.take();
             for (int i = 0; i < 2; i++) {
@@ -100,7 +100,7 @@
 
     @Test
     void sendsNothingWhereTheRequestIsOverOnceConnected() throws Exception {
-        BackendPool pool = pool(new Sockets(16));
+        BackendPool pool = pool(new Sockets(16, 0));
         begin(pool, backend, null);
         assertEquals(Outcome.NOT_SENT, outcome());
         begin(pool, backend, request());
@@ -112,7 +112,7 @@
 
     @Test
     void aRequestThatCanNotBeWrittenDownLeavesTheConnectionUsable() throws Exception {
-        BackendPool pool = pool(new Sockets(16));
+        BackendPool pool = pool(new Sockets(16, 0));
         group.next().execute(() -> pool.begin(Config.address(backend.address()), () -> {
             throw new IllegalArgumentException("as a header with a line break would");
         }, a -> outcomes.add(a.outcome())));
@@ -125,7 +125,7 @@
 
     @Test
     void tellsAResetAfterTheWriteFromAFailureToConnect() throws Exception {
-        BackendPool pool = pool(new Sockets(16));
+        BackendPool pool = pool(new Sockets(16, 0));
         begin(pool, backend, request());
         backend.next().reset();
         assertEquals(Outcome.RESET, outcome());
@@ -149,7 +149,7 @@
         "HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\nab",
         "HTTP/1.1 103 Hints\r\nno colon here\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"})
     void takesNoAnswerThatIsNotHttpToTheLetter(String answer) throws Exception {
-        BackendPool pool = pool(new Sockets(16));
+        BackendPool pool = pool(new Sockets(16, 0));
         begin(pool, backend, request());
         Peer.Message sent = backend.next();
         sent.raw(answer);
@@ -160,7 +160,7 @@
     /** What had come by the reset was served as the whole body. */
     @Test
     void takesABodyThatAResetCutsForNoAnswer() throws Exception {
-        BackendPool pool = pool(new Sockets(64));
+        BackendPool pool = pool(new Sockets(64, 0));
         for (int i = 0; i < 20; i++) {
             begin(pool, backend, request());
             Peer.Message sent = backend.next();
@@ -178,7 +178,7 @@
     /** The next request was given the second of two answers to the one before. */
     @Test
     void givesNoRequestWhatCameBehindTheAnswerToAnother() throws Exception {
-        BackendPool pool = pool(new Sockets(16));
+        BackendPool pool = pool(new Sockets(16, 0));
         InetSocketAddress address = Config.address(backend.address());
         BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
         group.next().execute(() -> pool.begin(address, BackendPoolTest::request, first -> {
@@ -201,7 +201,7 @@
         "HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n0\r\nX-T: z\r\n\r\n",
         "HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"})
     void takesEveryFormOfAnAnswerThatHttpAllows(String answer) throws Exception {
-        BackendPool pool = pool(new Sockets(16));
+        BackendPool pool = pool(new Sockets(16, 0));
         begin(pool, backend, request());
         backend.next().raw(answer);
         assertEquals(Outcome.OK, outcome());
--- a/src/test/java/larkworks/proxy/Bench.java
+++ b/src/test/java/larkworks/proxy/Bench.java
@@ -3,14 +3,17 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 
 /** A proxy between a test's client, backends and discovery, all on loopback sockets. */
@@ -26,6 +29,12 @@
     long connectTimeoutUs = 5_000_000;
     long drainGraceUs = 1_000_000;
     boolean probes;
+    /** What the proxy's process would find in its environment. */
+    Map<String, String> environment = Map.of();
+    /** Further lines of the configuration, each with its comma. */
+    String more = "";
+    private Thread lists;
+    private volatile String list;
     private Main main;
     private int port;
 
@@ -62,7 +71,7 @@
     String config(int listen, String known) {
         String kind = "{\"name\":\"%s\",\"effect\":\"%s\",\"group\":\"all\",\"goalTimeUs\":2000000,"
                 + "\"deadlineUs\":30000000,\"worth\":1.0,\"lateWorth\":0.0,\"dedupWindowUs\":30000000}";
-        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + listen + "\",\"discovery\":\""
+        return "{" + more + "\"name\":\"n0\",\"listen\":\"127.0.0.1:" + listen + "\",\"discovery\":\""
                 + discovery.address() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
                 + "\"memory_mb\":192,\"sockets\":" + sockets + "},\"known\":" + known + ",\"settings\":{"
                 + "\"balancers\":1,\"categories\":[" + String.format(kind, "look", "pure") + ","
@@ -77,6 +86,67 @@
                 + ",\"tipMultiple\":2.5},\"tenants\":[{\"name\":\"acme\",\"quotaPerS\":0}]}}";
     }
 
+    /** Lets discovery answer by itself, each call at once with this list until the next one. */
+    void list(String text) {
+        list = text;
+        if (lists == null) {
+            lists = new Thread(() -> {
+                try {
+                    while (true) {
+                        Peer.Message asked = discovery.next();
+                        asked.reply(200, list);
+                    }
+                } catch (InterruptedException | AssertionError | UncheckedIOException e) {
+                    // The test is over.
+                }
+            });
+            lists.setDaemon(true);
+            lists.start();
+        }
+    }
+
+    static int freePort() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return free.getLocalPort();
+        }
+    }
+
+    /** Makes one of the operators' calls and returns the status. */
+    static int call(int admin, String method, String path, String body) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), admin)) {
+            socket.setSoTimeout((int) Peer.LIMIT_S * 1000);
+            Client client = new Client(socket, new BufferedInputStream(socket.getInputStream()));
+            client.send(method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                    + body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body);
+            int status = client.status();
+            if (client.in().read() >= 0) {
+                throw new AssertionError("more than one answer");
+            }
+            return status;
+        }
+    }
+
+    /** Makes a call as soon as somebody listens. */
+    static int awaitCall(int admin, String method, String path) throws Exception {
+        long until = System.nanoTime() + Peer.LIMIT_S * 1_000_000_000L;
+        while (true) {
+            try {
+                return call(admin, method, path, "");
+            } catch (ConnectException e) {
+                if (System.nanoTime() > until) {
+                    throw e;
+                }
+                Thread.sleep(10);
+            }
+        }
+    }
+
+    /** Ends the proxy, but neither backends nor discovery. */
+    void stop() {
+        main.close();
+        main = null;
+    }
+
     /** Starts the proxy, knowing all backends. */
     Bench start(Path folder) throws Exception {
         return start(folder, all(1));
@@ -84,9 +154,9 @@
 
     Bench start(Path folder, String known) throws Exception {
         Path file = Files.writeString(folder.resolve("config.json"), config(0, known));
-        main = new Main(Config.read(file.toString()));
-        port = ((InetSocketAddress) main.start().localAddress()).getPort();
-        main.awaitWarm();
+        main = new Main(Config.read(file.toString(), environment));
+        main.start();
+        port = main.awaitServing().getPort();
         return this;
     }
 
