--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -33,6 +33,7 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -137,27 +138,37 @@
      * go once it is answered, or as strangers.
      */
     void stopListening() {
-        if (listener == null || !listener.isOpen()) {
+        List.copyOf(idle).stream().filter(connection -> connection.proper)
+                .forEach(connection -> connection.channel.close());
+        if (listener != null && listener.isOpen()) {
+            listener.deregister().addListener(done -> closeOnceEmpty());
+        }
+    }
+
+    /**
+     * While a selector knows the listener, the system closes it only some time after it was told to, with all
+     * that came meanwhile; so the selector forgets it first.
+     */
+    private void closeOnceEmpty() {
+        if (accepting.isRegistered()) {
+            loop.schedule(this::closeOnceEmpty, 1, TimeUnit.MILLISECONDS);
             return;
         }
-        try {
-            SocketChannel waiting = accepting.accept();
-            while (waiting != null) {
-                listener.pipeline().fireChannelRead(new NioSocketChannel(listener, waiting));
-                waiting = accepting.accept();
+        List<SocketChannel> queue = new ArrayList<>();
+        try (ServerSocketChannel closing = accepting) {
+            for (SocketChannel next = closing.accept(); next != null; next = closing.accept()) {
+                queue.add(next);
             }
-            listener.pipeline().fireChannelReadComplete();
         } catch (IOException e) {
             System.err.println("larkworks: connections in the queue are lost: " + e);
         }
+        queue.forEach(socket -> listener.pipeline().fireChannelRead(new NioSocketChannel(listener, socket)));
         listener.close();
-        List.copyOf(idle).stream().filter(connection -> connection.proper)
-                .forEach(connection -> connection.channel.close());
     }
 
-    /** Whether some client's connection is open. */
-    boolean hasConnections() {
-        return connections > 0;
+    /** Whether the listener is closed and so is each client's connection. */
+    boolean isEmpty() {
+        return (listener == null || !listener.isOpen()) && connections == 0;
     }
 
     /** Whether clients find this process at their address, and requests some backend. */
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -180,7 +180,7 @@
 
     /** All answers have then left: each closes its connection. */
     private void endWhenIdle() {
-        if (driver.isIdle() && !frontend.hasConnections()) {
+        if (driver.isIdle() && frontend.isEmpty()) {
             finished.countDown();
         } else {
             loop.schedule(this::endWhenIdle, END_LOOK_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/larkworks/proxy/Bench.java
+++ b/src/test/java/larkworks/proxy/Bench.java
@@ -160,6 +160,10 @@
         return this;
     }
 
+    int port() {
+        return port;
+    }
+
     /** Lets this bench's clients connect to a proxy that runs elsewhere. */
     void at(int listen) {
         port = listen;
