Close silent strangers first, and share descriptors with another process while it lives

Tests listen at an address where no connection has its own end: AdminTest once found its port taken by one.

--- a/src/main/java/larkworks/proxy/Absences.java
+++ b/src/main/java/larkworks/proxy/Absences.java
@@ -19,9 +19,8 @@
 
     private final Path folder;
 
-    /** Makes the folder where it is not there yet; each proxy has its own, by the address it listens on. */
-    Absences(Path parent, String listen) throws IOException {
-        folder = Files.createDirectories(parent.resolve("larkworks-" + encoded(listen)));
+    Absences(Path folder) {
+        this.folder = folder;
     }
 
     private static String encoded(String text) {
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -203,21 +203,24 @@
         return warm && !draining && driver.canServe();
     }
 
-    /**
-     * Closes the connection that can best be done without: a stranger that has been silent for a while, else
-     * the client's that was idle longest, else any stranger; false where none is.
-     */
+    /** Closes the stranger that has been silent longest, if for a while; false where there is none. */
+    boolean evictStranger() {
+        Connection longest = first(strangers);
+        return longest != null && nowMs() - longest.stirredMs > SILENT_MS && evict(longest);
+    }
+
+    /** Closes the client's connection that was idle longest, else any stranger's; false where none is. */
     boolean evict() {
-        Connection stranger = first(strangers);
-        Connection client = first(idle);
-        boolean silent = stranger != null && nowMs() - stranger.stirredMs > SILENT_MS;
-        Connection chosen = silent || client == null ? stranger : client;
-        if (chosen == null) {
-            return false;
-        }
-        chosen.idleOf().remove(chosen);
-        chosen.channel.close();
-        return true;
+        Connection longest = first(idle);
+        return evict(longest == null ? first(strangers) : longest);
+    }
+
+    private static boolean evict(Connection chosen) {
+        if (chosen != null) {
+            chosen.idleOf().remove(chosen);
+            chosen.channel.close();
+        }
+        return chosen != null;
     }
 
     private static Connection first(Set<Connection> connections) {
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.Promise;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -39,6 +40,8 @@
     private final Driver driver;
     private final Frontend frontend;
     private final Discovery discovery;
+    /** Null where there is no second address. */
+    private Maintenance maintenance;
     private final Promise<InetSocketAddress> serving = loop.newPromise();
 
     Main(Config config) {
@@ -48,7 +51,7 @@
         driver = new Driver(config, new Clock(), loop, pool);
         frontend = new Frontend(config, loop, sockets, driver);
         discovery = new Discovery(config, loop, sockets, driver);
-        sockets.evictors(pool::evict, frontend::evict);
+        sockets.evictors(frontend::evictStranger, pool::evict, frontend::evict);
     }
 
     /** Runs the proxy that {@code GW_CONFIG} describes. */
@@ -72,7 +75,7 @@
      */
     void start() throws ConfigException, InterruptedException {
         boolean shared = config.admin() != null;
-        Maintenance maintenance = shared ? maintenance() : null;
+        maintenance = shared ? maintenance() : null;
         loop.submit(() -> {
             driver.listChanged(ListKind.REMEMBERED,
                     config.known() == null ? List.of() : config.known().entries());
@@ -101,7 +104,7 @@
 
     private Maintenance maintenance() throws ConfigException {
         try {
-            return new Maintenance(config, loop, driver);
+            return new Maintenance(config, loop, driver, sockets);
         } catch (IOException e) {
             throw new ConfigException("calls about backends can't be kept in TMPDIR: " + e);
         }
@@ -191,5 +194,12 @@
     void close() {
         loop.execute(discovery::close);
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        try {
+            if (maintenance != null) {
+                maintenance.close();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 }
--- a/src/main/java/larkworks/proxy/Maintenance.java
+++ b/src/main/java/larkworks/proxy/Maintenance.java
@@ -2,12 +2,16 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
- * The operators' calls about backends: keeps them where they outlive the process, tells the driver, and sees
- * the calls that came to another process of this proxy, as during a replacement two are alive.
+ * What processes of this proxy have in common, as during a replacement two are alive. Keeps the operators'
+ * calls about backends where they outlive the process, tells the driver, and sees the calls that came to the
+ * other process; while there is one, descriptors are shared with it.
  */
 final class Maintenance {
 
@@ -20,16 +24,28 @@
 
     private final EventLoop loop;
     private final Driver driver;
+    private final Sockets sockets;
     private final long pauseUs;
     /** Null where no folder outlives this process: calls then hold as long as it lives. */
     private final Absences kept;
+    /** Null likewise. */
+    private final Presence presence;
     private boolean failing;
 
-    Maintenance(Config config, EventLoop loop, Driver driver) throws IOException {
+    Maintenance(Config config, EventLoop loop, Driver driver, Sockets sockets) throws IOException {
         this.loop = loop;
         this.driver = driver;
+        this.sockets = sockets;
         this.pauseUs = Math.max(LEAST_PAUSE_US, config.settings().rules().drainGraceUs() / LOOKS_IN_GRACE);
-        this.kept = config.state() == null ? null : new Absences(config.state(), config.listen().toString());
+        Path folder = config.state() == null ? null : folder(config.state(), config.listen());
+        this.kept = folder == null ? null : new Absences(folder);
+        this.presence = folder == null ? null : new Presence(folder);
+    }
+
+    /** Each proxy has a folder of its own, by the address it listens on. */
+    private static Path folder(Path parent, InetSocketAddress listen) throws IOException {
+        String name = listen.getAddress().getHostAddress() + "-" + listen.getPort();
+        return Files.createDirectories(parent.resolve("larkworks-" + name.replace(':', '_')));
     }
 
     /** Takes up what was called before; to be run on the loop, before the first request. */
@@ -41,8 +57,16 @@
         look();
     }
 
+    /** Ends what shows other processes that this one lives. */
+    void close() throws IOException {
+        if (presence != null) {
+            presence.close();
+        }
+    }
+
     private void look() {
         try {
+            sockets.share(presence.accompanied());
             Set<String> told = kept.read();
             told.forEach(backend -> driver.maintenance(backend, true));
             for (String backend : driver.out()) {
--- a/src/main/java/larkworks/proxy/Sockets.java
+++ b/src/main/java/larkworks/proxy/Sockets.java
@@ -2,30 +2,44 @@
 
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
+import java.util.List;
 import java.util.function.BooleanSupplier;
 
 /**
- * Counts the sockets of this process against its limit. At the limit, idle connections to backends go first,
- * then idle ones of clients: a request in flight outweighs a handshake saved.
+ * Counts the sockets of this process against its limit. At the limit, strangers' silent connections go first,
+ * then idle ones to backends, then idle ones of clients: a request in flight outweighs a handshake saved.
  */
 final class Sockets {
 
     /** Descriptors for the jar, the selector, standard streams, the listener and discovery. */
     private static final int RESERVE = 48;
 
-    private final int most;
+    private final int limit;
+    private final int apart;
+    private int most;
     /** Backends leave this part of the descriptors to clients, whose requests would else be lost unread. */
-    private final int mostForBackends;
-    private BooleanSupplier evictBackend = () -> false;
-    private BooleanSupplier evictClient = () -> false;
+    private int mostForBackends;
+    private List<BooleanSupplier> evictors = List.of();
     private Runnable freed = () -> { };
     private int open;
 
     /** Divides the limit; {@code apart} of it are for connections that are not counted here. */
     Sockets(int limit, int apart) {
-        int left = limit - apart;
-        this.most = Math.max(2, left - Math.min(RESERVE, left / 2));
-        this.mostForBackends = Math.max(1, most - most / 8);
+        this.limit = limit;
+        this.apart = apart;
+        divide(limit);
+    }
+
+    private void divide(int all) {
+        int left = all - apart;
+        most = Math.max(2, left - Math.min(RESERVE, left / 2));
+        mostForBackends = Math.max(1, most - most / 8);
+    }
+
+    /** Whether another process of this proxy has a part in the limit. */
+    void share(boolean shared) {
+        divide(shared ? limit / 2 : limit);
+        makeRoom(most + 1);
     }
 
     /** What is read at a time: enough for large bodies, and little where many come at once. */
@@ -33,21 +47,25 @@
         return new AdaptiveRecvByteBufAllocator(512, 2048, 32 << 10);
     }
 
-    /** How to close one idle connection; false where there is none. */
-    void evictors(BooleanSupplier backend, BooleanSupplier client) {
-        evictBackend = backend;
-        evictClient = client;
+    /** Ways to close a connection, the one that can best be done without first; each false where none is. */
+    void evictors(BooleanSupplier... ways) {
+        evictors = List.of(ways);
     }
 
     void onFreed(Runnable action) {
         freed = action;
     }
 
-    /** Takes a socket for a connection to a backend or to discovery; false where none is left. */
-    boolean take() {
-        while (open >= mostForBackends && (evictBackend.getAsBoolean() || evictClient.getAsBoolean())) {
+    /** Closes connections until fewer than so many are open, or none is left to close. */
+    private void makeRoom(int bound) {
+        while (open >= bound && evictors.stream().anyMatch(BooleanSupplier::getAsBoolean)) {
             // Each turn closes one connection, whose closing calls release.
         }
+    }
+
+    /** Takes a socket for a connection to a backend or to discovery; false where none is left. */
+    boolean take() {
+        makeRoom(mostForBackends);
         if (open >= mostForBackends) {
             return false;
         }
@@ -58,9 +76,7 @@
     /** Counts a client's connection, which is there already; false where there should be no further one. */
     boolean accepted() {
         open++;
-        while (open >= most && (evictBackend.getAsBoolean() || evictClient.getAsBoolean())) {
-            // As above.
-        }
+        makeRoom(most);
         return open < most;
     }
 
--- a/src/test/java/larkworks/proxy/AdminTest.java
+++ b/src/test/java/larkworks/proxy/AdminTest.java
@@ -37,7 +37,7 @@
     void prepare() throws IOException {
         admin = Bench.freePort();
         bench = new Bench(2);
-        bench.environment = Map.of("GW_ADMIN_ADDR", "127.0.0.1:" + admin, "TMPDIR", folder.toString());
+        bench.environment = Map.of("GW_ADMIN_ADDR", Bench.HOST + ":" + admin, "TMPDIR", folder.toString());
     }
 
     @AfterEach
@@ -181,7 +181,7 @@
         List<Socket> crowd = new ArrayList<>();
         try {
             for (int i = 0; i < 200; i++) {
-                Socket caller = new Socket(InetAddress.getByName("127.0.0.1"), admin);
+                Socket caller = new Socket(InetAddress.getByName(Bench.HOST), admin);
                 crowd.add(caller);
                 if (i % 2 == 0) {
                     caller.getOutputStream().write("PUT /ops/backends/down HT".getBytes());
@@ -218,7 +218,7 @@
     @Test
     void theConfigurationNamesTheAddressWhereTheEnvironmentDoesNot() throws Exception {
         bench.environment = Map.of();
-        bench.more = "\"admin_addr\":\"127.0.0.1:" + admin + "\",";
+        bench.more = "\"admin_addr\":\"" + Bench.HOST + ":" + admin + "\",";
         start();
         assertEquals(200, call("GET", "/ops/readiness", ""));
         assertEquals(200, backend("down", "b0"), "without TMPDIR the call holds for this process");
@@ -229,8 +229,8 @@
     void anAddressThatCanNotBeUsedFailsTheStart() throws Exception {
         Path file = Files.writeString(folder.resolve("c.json"), bench.config(0, "null"));
         assertThrowsConfig(() -> Config.read(file.toString(), Map.of("GW_ADMIN_ADDR", "here:1")));
-        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            bench.environment = Map.of("GW_ADMIN_ADDR", "127.0.0.1:" + taken.getLocalPort());
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName(Bench.HOST))) {
+            bench.environment = Map.of("GW_ADMIN_ADDR", Bench.HOST + ":" + taken.getLocalPort());
             assertThrowsConfig(() -> bench.start(folder));
         }
     }
--- a/src/test/java/larkworks/proxy/Bench.java
+++ b/src/test/java/larkworks/proxy/Bench.java
@@ -19,6 +19,9 @@
 /** A proxy between a test's client, backends and discovery, all on loopback sockets. */
 final class Bench implements AutoCloseable {
 
+    /** Where proxies listen: no connection has its own end here, and with it a port that was free before. */
+    static final String HOST = "127.31.7.1";
+
     final Peer discovery = new Peer();
     final List<Peer> backends = new ArrayList<>();
     private final List<Socket> clients = new ArrayList<>();
@@ -71,7 +74,7 @@
     String config(int listen, String known) {
         String kind = "{\"name\":\"%s\",\"effect\":\"%s\",\"group\":\"all\",\"goalTimeUs\":2000000,"
                 + "\"deadlineUs\":30000000,\"worth\":1.0,\"lateWorth\":0.0,\"dedupWindowUs\":30000000}";
-        return "{" + more + "\"name\":\"n0\",\"listen\":\"127.0.0.1:" + listen + "\",\"discovery\":\""
+        return "{" + more + "\"name\":\"n0\",\"listen\":\"" + HOST + ":" + listen + "\",\"discovery\":\""
                 + discovery.address() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
                 + "\"memory_mb\":192,\"sockets\":" + sockets + "},\"known\":" + known + ",\"settings\":{"
                 + "\"balancers\":1,\"categories\":[" + String.format(kind, "look", "pure") + ","
@@ -106,14 +109,14 @@
     }
 
     static int freePort() throws IOException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
             return free.getLocalPort();
         }
     }
 
     /** Makes one of the operators' calls and returns the status. */
     static int call(int admin, String method, String path, String body) throws IOException {
-        try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), admin)) {
+        try (Socket socket = new Socket(InetAddress.getByName(HOST), admin)) {
             socket.setSoTimeout((int) Peer.LIMIT_S * 1000);
             Client client = new Client(socket, new BufferedInputStream(socket.getInputStream()));
             client.send(method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: "
@@ -170,7 +173,7 @@
     }
 
     Client client() throws IOException {
-        Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), port);
+        Socket socket = new Socket(InetAddress.getByName(HOST), port);
         socket.setSoTimeout((int) Peer.LIMIT_S * 1000);
         clients.add(socket);
         return new Client(socket, new BufferedInputStream(socket.getInputStream()));
--- a/src/test/java/larkworks/proxy/ProcessTest.java
+++ b/src/test/java/larkworks/proxy/ProcessTest.java
@@ -6,8 +6,6 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -36,10 +34,7 @@
 
     @Test
     void finishesWhatItHasTakenAfterSigterm() throws Exception {
-        int port;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            port = free.getLocalPort();
-        }
+        int port = Bench.freePort();
         try (Bench bench = new Bench(1)) {
             bench.at(port);
             Process process = start(bench.config(port, bench.all(1)));
@@ -70,10 +65,7 @@
 
     @Test
     void turnsToAnotherDiscoveryAtSighupAndOutlivesABadConfiguration() throws Exception {
-        int port;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            port = free.getLocalPort();
-        }
+        int port = Bench.freePort();
         try (Bench bench = new Bench(2); Peer other = new Peer()) {
             bench.at(port);
             String config = bench.config(port, "null");
--- a/src/test/java/larkworks/proxy/ReplacementTest.java
+++ b/src/test/java/larkworks/proxy/ReplacementTest.java
@@ -88,7 +88,7 @@
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
                 System.getProperty("java.class.path"), "larkworks.proxy.Main");
         builder.environment().put("GW_CONFIG", folder.resolve("config.json").toString());
-        builder.environment().put("GW_ADMIN_ADDR", "127.0.0.1:" + admin);
+        builder.environment().put("GW_ADMIN_ADDR", Bench.HOST + ":" + admin);
         builder.environment().put("TMPDIR", folder.resolve("tmp").toString());
         builder.redirectError(ProcessBuilder.Redirect.INHERIT);
         Process process = builder.start();
