Drop a list that stops half-way a second after it began, and ask anew

ProxyTest.takesNoListInPartAndAsksAnew took 7 s without the change on a list that stops, and finds none taken in part in any of four forms.

--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -38,6 +39,8 @@
     private static final long WAIT_MS = 5_000;
     /** An answer later than this is taken to be lost. */
     private static final long SILENCE_MS = 2_000;
+    /** An answer that has begun is due whole by then: a list is short, and its news may be of a drain. */
+    private static final long WHOLE_MS = 1_000;
     /**
      * Pause after an answer that came at once and told nothing, lest the two of us do nothing else; far below
      * the 200 ms after which a watch is broken off.
@@ -60,6 +63,8 @@
     private long index = -1;
     private long pauseMs = FIRST_PAUSE_MS;
     private boolean calling;
+    /** The answer to the call has begun to come. */
+    private boolean begun;
     private long calledAt;
     private boolean closed;
     private boolean heard;
@@ -121,8 +126,9 @@
             return;
         }
         calling = true;
+        begun = false;
         calledAt = System.nanoTime();
-        silence = loop.schedule(this::failed, (index < 0 ? 0 : WAIT_MS) + SILENCE_MS, TimeUnit.MILLISECONDS);
+        limit((index < 0 ? 0 : WAIT_MS) + SILENCE_MS);
         if (channel != null && channel.isActive()) {
             write(channel);
         } else if (sockets.take()) {
@@ -132,7 +138,13 @@
                     .handler(new ChannelInitializer<SocketChannel>() {
                         @Override
                         protected void initChannel(SocketChannel fresh) {
-                            fresh.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(),
+                            fresh.pipeline().addLast(new ChannelInboundHandlerAdapter() {
+                                @Override
+                                public void channelRead(ChannelHandlerContext context, Object bytes) {
+                                    stir(fresh);
+                                    context.fireChannelRead(bytes);
+                                }
+                            }, new HttpRequestEncoder(), new ResponseDecoder(),
                                     new HttpObjectAggregator(MOST_LIST), new Reader());
                         }
                     }).connect(address);
@@ -150,6 +162,19 @@
         }
     }
 
+    private void limit(long ms) {
+        silence = loop.schedule(this::failed, ms, TimeUnit.MILLISECONDS);
+    }
+
+    /** Bytes of an answer came; one that stops half-way is not waited for as long as a silent watch. */
+    private void stir(Channel from) {
+        if (from == channel && calling && !begun) {
+            begun = true;
+            silence.cancel(false);
+            limit(WHOLE_MS);
+        }
+    }
+
     private void write(Channel to) {
         var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                 index < 0 ? PATH : PATH + "?index=" + index + "&wait=" + WAIT_MS, Unpooled.EMPTY_BUFFER);
--- a/src/test/java/larkworks/proxy/ProxyTest.java
+++ b/src/test/java/larkworks/proxy/ProxyTest.java
@@ -323,6 +323,35 @@
         }
     }
 
+    /** Neither a list that breaks off nor one that stops half-way is taken in part, or waited for long. */
+    @ParameterizedTest
+    @ValueSource(strings = {"ends", "stops", "cut", "more"})
+    void takesNoListInPartAndAsksAnew(String how) throws Exception {
+        try (Bench bench = new Bench(2)) {
+            bench.start(folder, "null");
+            bench.discovery.next().reply(200, Bench.list(7, true, bench.entry(0, "in_service")));
+            Peer.Message watch = bench.discovery.next();
+            String changes = Bench.list(8, true, bench.entry(1, "in_service"));
+            String half = changes.substring(0, changes.length() / 2);
+            switch (how) {
+                case "cut" -> watch.reply(200, half);
+                case "more" -> watch.reply(200, changes + changes);
+                default -> watch.raw("HTTP/1.1 200 OK\r\nContent-Length: " + changes.length()
+                        + "\r\n\r\n" + half);
+            }
+            long from = System.nanoTime();
+            if (how.equals("ends")) {
+                watch.socket().close();
+            }
+            Peer.Message again = bench.discovery.next();
+            assertTrue(System.nanoTime() - from < 2_500_000_000L, "asked anew in time");
+            serve(bench, 0);
+            again.reply(200, Bench.list(9, true, bench.entry(1, "in_service")));
+            bench.discovery.next();
+            serve(bench, 1);
+        }
+    }
+
     @Test
     void asksDiscoveryAgainWhereListsAreNotPushed() throws Exception {
         try (Bench bench = new Bench(1)) {
