--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -42,6 +42,7 @@
     private final Discovery discovery;
     /** Null where there is no second address. */
     private Maintenance maintenance;
+    private Channel admin;
     private final Promise<InetSocketAddress> serving = loop.newPromise();
 
     Main(Config config) {
@@ -85,7 +86,8 @@
             discovery.start();
         }).sync();
         if (shared) {
-            await(new Admin(loop, frontend::serves, maintenance).listen(config.admin()), config.admin());
+            admin = await(new Admin(loop, frontend::serves, maintenance).listen(config.admin()),
+                    config.admin());
         }
         // Warming up at the shared address would reach the other process, and backends through it.
         InetSocketAddress first = shared ? new InetSocketAddress(config.listen().getAddress(), 0)
@@ -151,6 +153,11 @@
         }
     }
 
+    /** Where the operators' calls come; only after a start with a second address. */
+    InetSocketAddress adminAddress() {
+        return (InetSocketAddress) admin.localAddress();
+    }
+
     /** Waits until the proxy serves, and tells where. */
     InetSocketAddress awaitServing() throws ConfigException, InterruptedException {
         serving.await();
