Hold no call hopeless before four calls have been timed

A quantile of 0.3 says nothing before some four calls: until then the quickest passes for it and nothing is hopeless. LogicTest.Beginning fails without the change.

--- a/src/main/java/larkworks/Logic.java
+++ b/src/main/java/larkworks/Logic.java
@@ -134,6 +134,8 @@
     private double callUs;
     /** The time for each call in flight that {@link #QUICK} of the calls stay under. */
     private double quickUs;
+    /** Calls whose time entered these figures. */
+    private long timed;
     private double tookUs;
     private double ahead;
     private double workUs;
@@ -619,9 +621,9 @@
         return s.reportUntilUs > nowUs ? Math.max(s.inFlight, s.reported) : s.inFlight;
     }
 
-    /** The least that this call can be hoped to take. */
+    /** The least that this call can be hoped to take; nothing while that rests on a call or two. */
     private double leastUs(Call call) {
-        return (call.held ? callUs * HELD_MARGIN : quickUs) * call.size;
+        return timed < 1 / QUICK ? 0 : (call.held ? callUs * HELD_MARGIN : quickUs) * call.size;
     }
 
     /**
@@ -742,7 +744,12 @@
             tookUs += elapsedUs - tookUs * MEAN_WEIGHT / 2;
             ahead += attempt.ahead - ahead * MEAN_WEIGHT / 2;
             double each = elapsedUs / attempt.ahead;
-            quickUs = quickUs == 0 ? each : quickUs * (1 + QUICK_STEP * (each < quickUs ? QUICK - 1 : QUICK));
+            if (++timed <= 1 / QUICK) {
+                // Of so few the quickest passes for quick.
+                quickUs = timed == 1 ? each : Math.min(quickUs, each);
+            } else {
+                quickUs *= 1 + QUICK_STEP * (each < quickUs ? QUICK - 1 : QUICK);
+            }
             // A few servers that take seconds must not pass for usual: the mean is capped.
             callUs = Math.min(tookUs / ahead, USUAL * quickUs);
             Backend s = attempt.server;
--- a/src/test/java/larkworks/LogicTest.java
+++ b/src/test/java/larkworks/LogicTest.java
@@ -1181,6 +1181,24 @@
         }
     }
 
+    /** What a copy that has just started knows of the time that calls take. */
+    @Nested
+    class Beginning {
+
+        @Test
+        void oneSlowCallDoesNotMakeAllLaterOnesHopeless() {
+            Proxy p = new Proxy(setup()).with("a", "b", "c");
+            String first = p.request(Proxy.SAFE);
+            p.pass(410);
+            p.logic.outcome(p.now, first, 0, p.at(first), Outcome.OK, 410 * MS, true, null);
+            p.pass(1_000);
+            for (int i = 0; i < 5; i++) {
+                assertNotNull(p.serve(), "begun, though the only call seen took longer than the aim");
+            }
+            assertEquals(0, p.count("refuse"));
+        }
+    }
+
     /** Bodies too large to be held, on their way in either direction. */
     @Nested
     class Large {
