--- a/src/main/java/larkworks/proxy/Config.java
+++ b/src/main/java/larkworks/proxy/Config.java
@@ -69,8 +69,6 @@
         Map<?, ?> limits = object(params, "limits");
         List<String> zones = params.get("dcs") instanceof List<?> names
                 ? names.stream().map(String::valueOf).toList() : List.of();
-        String own = environment.getOrDefault("GW_ADMIN_ADDR", "");
-        Object admin = own.isBlank() ? top.get("admin_addr") : own;
         String state = environment.getOrDefault("TMPDIR", "");
         return new Config(address(top.get("listen")), address(top.get("discovery")),
                 Long.parseUnsignedLong(String.valueOf(top.get("seed")), 16),
@@ -78,7 +76,19 @@
                 number(limits, "connectTimeoutUs"), number(limits, "keepaliveUs"),
                 params.get("loadInfo") instanceof Map<?, ?> info && !"none".equals(info.get("how")),
                 top.get("known") == null ? null : Listing.of(object(top, "known"), zones),
-                admin == null ? null : address(admin), state.isBlank() ? null : Path.of(state));
+                admin(top.get("admin_addr"), environment.getOrDefault("GW_ADMIN_ADDR", "")), state.isBlank() ? null : Path.of(state));
+    }
+
+    /** Where the operators' calls come; the environment's word goes before that of the file. */
+    private static InetSocketAddress admin(Object filed, String own) {
+        if (own.isBlank()) {
+            return filed == null ? null : address(filed);
+        }
+        try {
+            return address(own);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException("GW_ADMIN_ADDR: " + e.getMessage(), e);
+        }
     }
 
     private static Map<?, ?> object(Map<?, ?> parent, String key) {
