Bound what requests' bodies fill before they are passed on, all together

Now 8 MiB for all; past that the longest silent half-sent request goes, or the newest is refused. CrowdTest finds 300 held without the change.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -64,6 +64,8 @@
     private static final long LEAST_RATE = 48_000;
     /** Time between a head and its body's first bytes that is granted however late the head was. */
     private static final long BODY_GRACE_MS = 500;
+    /** What all requests together may fill with bodies that are held whole, or not known to be large yet. */
+    private static final int MOST_HELD = 8 << 20;
     /** A transfer that stands still for so long is cut off. */
     private static final long STALL_MS = 10_000;
     /** Who is silent for so long goes first where descriptors run short: honest heads come in pieces. */
@@ -88,6 +90,7 @@
     private Channel listener;
     private ServerSocketChannel accepting;
     private int connections;
+    private int heldBytes;
     private boolean warm;
     private boolean draining;
 
@@ -218,6 +221,7 @@
     private static boolean evict(Connection chosen) {
         if (chosen != null) {
             chosen.idleOf().remove(chosen);
+            chosen.holdNothing();
             chosen.channel.close();
         }
         return chosen != null;
@@ -331,6 +335,8 @@
         private ByteBuf body;
         private Upload upload;
         private long received;
+        /** Its part of {@link #heldBytes}. */
+        private int holding;
         private long bodyFromMs;
         private Rejected rejected;
         private boolean keep;
@@ -503,6 +509,7 @@
             if (upload != null) {
                 upload.part(part.retain());
             } else if (rejected == null && !isHealth()) {
+                hold(part.readableBytes());
                 body.writeBytes(part);
                 if (body.readableBytes() > BackendPool.MOST_BODY && !last) {
                     pass(atUs);
@@ -513,10 +520,27 @@
             }
         }
 
+        /** Makes room for more of a body: who has sent half a request and fallen silent has to go first. */
+        private void hold(int bytes) throws Rejected {
+            while (heldBytes + bytes > MOST_HELD && evictStranger()) {
+                // Each turn closes one connection, which frees what it holds.
+            }
+            if (heldBytes + bytes > MOST_HELD) {
+                throw new Rejected(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for the body");
+            }
+            heldBytes += bytes;
+            holding += bytes;
+        }
+
+        private void holdNothing() {
+            heldBytes -= holding;
+            holding = 0;
+        }
+
         /** The body is too large to be held: what came and what will come goes on as it comes. */
         private void pass(long atUs) throws Rejected {
             upload = new Upload(channel, flow, HttpUtil.isTransferEncodingChunked(head) ? -1
-                    : HttpUtil.getContentLength(head, -1L), body);
+                    : HttpUtil.getContentLength(head, -1L), body, this::holdNothing);
             body = null;
             dispatch(read(head, null, upload, atUs));
             if (upload != null) {
@@ -629,6 +653,7 @@
         }
 
         private void releaseBody() {
+            holdNothing();
             if (body != null) {
                 body.release();
                 body = null;
--- a/src/main/java/larkworks/proxy/Upload.java
+++ b/src/main/java/larkworks/proxy/Upload.java
@@ -58,14 +58,20 @@
     private boolean paused;
     private long pausedAt;
     private long pausedNanos;
+    private final Runnable onReleased;
     private Runnable onSpent = () -> { };
 
-    /** Takes over what came so far. */
-    Upload(Channel client, Flow flow, long length, ByteBuf held) {
+    /**
+     * Takes over what came so far.
+     *
+     * @param onReleased told when nothing of it is held any more
+     */
+    Upload(Channel client, Flow flow, long length, ByteBuf held, Runnable onReleased) {
         this.client = client;
         this.flow = flow;
         this.length = length;
         this.held = held;
+        this.onReleased = onReleased;
     }
 
     void onSpent(Runnable action) {
@@ -187,6 +193,7 @@
         if (held != null) {
             held.release();
             held = null;
+            onReleased.run();
         }
     }
 }
--- a/src/test/java/larkworks/proxy/CrowdTest.java
+++ b/src/test/java/larkworks/proxy/CrowdTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -62,6 +64,43 @@
         }
     }
 
+    /** The longest silent go, or the newest are turned away; a body that stops may else stay for seconds. */
+    @Test
+    void holdsNoMoreOfBodiesThanTheirCommonBound() throws Exception {
+        try (Bench bench = new Bench(1)) {
+            bench.sockets = 1024;
+            bench.start(folder);
+            String half = "POST /act HTTP/1.1\r\nHost: x\r\nX-Call-Id: %d\r\nX-Call-Class: act\r\n"
+                    + "Content-Length: 65000\r\n\r\n" + "x".repeat(60_000);
+            List<Bench.Client> crowd = new ArrayList<>();
+            for (int i = 0; i < 300; i++) {
+                Bench.Client stranger = bench.client();
+                crowd.add(stranger);
+                try {
+                    stranger.send(String.format(half, i));
+                } catch (SocketException e) {
+                    // Turned away before it had sent all.
+                }
+            }
+            long until = System.nanoTime() + 1_000_000_000L;
+            int left = 0;
+            for (Bench.Client stranger : crowd) {
+                stranger.socket().setSoTimeout((int) Math.max(1, (until - System.nanoTime()) / 1_000_000));
+                try {
+                    stranger.in().read();
+                } catch (SocketTimeoutException e) {
+                    left++;
+                } catch (SocketException e) {
+                    // Closed with its bytes unread.
+                }
+            }
+            assertTrue(left * 60_000 <= 8 << 20, "bodies held: " + left);
+            Bench.Client client = bench.client().look("r");
+            bench.backends.get(0).next().reply(200, "");
+            assertEquals(200, client.status());
+        }
+    }
+
     @Test
     void makesDoWithHalfOfTheDescriptorsWhileAnotherProcessLives() {
         Sockets sockets = new Sockets(200, 0);
