--- a/src/main/java/larkworks/proxy/Config.java
+++ b/src/main/java/larkworks/proxy/Config.java
@@ -76,7 +76,8 @@
                 number(limits, "connectTimeoutUs"), number(limits, "keepaliveUs"),
                 params.get("loadInfo") instanceof Map<?, ?> info && !"none".equals(info.get("how")),
                 top.get("known") == null ? null : Listing.of(object(top, "known"), zones),
-                admin(top.get("admin_addr"), environment.getOrDefault("GW_ADMIN_ADDR", "")), state.isBlank() ? null : Path.of(state));
+                admin(top.get("admin_addr"), environment.getOrDefault("GW_ADMIN_ADDR", "")),
+                state.isBlank() ? null : Path.of(state));
     }
 
     /** Where the operators' calls come; the environment's word goes before that of the file. */
