Give a test's second process an address of its own, as in service

AdminTest.keepsWhatWasCalledOutOverAnotherStart failed once of some thirty runs, in a fresh clone: the second address of the proxy just closed in the same JVM was still in use.

--- a/src/test/java/larkworks/proxy/AdminTest.java
+++ b/src/test/java/larkworks/proxy/AdminTest.java
@@ -35,8 +35,12 @@
 
     @BeforeEach
     void prepare() throws IOException {
-        admin = Bench.freePort();
         bench = new Bench(2);
+        newAddress();
+    }
+
+    private void newAddress() throws IOException {
+        admin = Bench.freePort();
         bench.environment = Map.of("GW_ADMIN_ADDR", Bench.HOST + ":" + admin, "TMPDIR", folder.toString());
     }
 
@@ -138,6 +142,8 @@
         start();
         assertEquals(200, backend("down", "b0"));
         bench.stop();
+        // As in service: another process, with a second address of its own.
+        newAddress();
         start();
         for (int i = 0; i < 4; i++) {
             assertEquals(1, served());
