Tell the module of a call that is answered while it still waits, so that it is not sent

The suspicion in README's open items is proved: a call that waits for a server when Driver.guard answers it, 20 ms before its deadline, could still be sent by the module; Driver.send found no such request and told nothing, so the module counted the server as busy for ever. ProxyTest.aCallAnsweredShortlyBeforeItsEndIsNotSentAnyMore brings it about: without the change no later call with half a second left reaches the idle server.

--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -334,9 +334,14 @@
     /** All else is late: the client is answered while it waits; what comes later only informs the module. */
     private void guard(Held held) {
         if (!held.over) {
+            boolean waits = held.out == 0;
             over(held);
             held.client.failed();
             forget(held);
+            if (waits) {
+                // Else the module might yet send it, and would wait for that attempt's end for ever.
+                enter(() -> balancer.clientGone(clock.nowUs(), held.id));
+            }
         }
     }
 
--- a/src/test/java/larkworks/proxy/ProxyTest.java
+++ b/src/test/java/larkworks/proxy/ProxyTest.java
@@ -233,6 +233,27 @@
         }
     }
 
+    /** It is still known to the module then, which may find a server for it before its time is quite over. */
+    @Test
+    void aCallAnsweredShortlyBeforeItsEndIsNotSentAnyMore() throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            Bench.Client client = bench.client().look("slow");
+            Peer.Message slow = bench.backends.get(0).next();
+            Thread.sleep(200);
+            slow.reply(200, "");
+            assertEquals(200, client.status());
+            client.look("long");
+            Peer.Message busy = bench.backends.get(0).next();
+            assertEquals(502, bench.client().look("held", 300).status());
+            busy.reply(200, "");
+            assertEquals(200, client.status());
+
+            client.look("next", 500);
+            bench.backends.get(0).next().reply(200, "");
+            assertEquals(200, client.status(), "the server is idle, and known to be");
+        }
+    }
+
     @Test
     void closesTheAttemptOfAClientThatHasGone() throws Exception {
         try (Bench bench = new Bench(1).start(folder)) {
