Give up a list that stops for a second, not one that comes slowly

Seen in the code: since the last change a list had a second from its first byte to its last, so one that came slowly but steadily would never have been taken. Now it has a second from each byte to the next, and four in all. ProxyTest.takesAListThatComesSlowlyButSteadily fails without the change.

--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -39,8 +39,10 @@
     private static final long WAIT_MS = 5_000;
     /** An answer later than this is taken to be lost. */
     private static final long SILENCE_MS = 2_000;
-    /** An answer that has begun is due whole by then: a list is short, and its news may be of a drain. */
-    private static final long WHOLE_MS = 1_000;
+    /** An answer that has begun and stops for so long is given up: its news may be of a drain. */
+    private static final long STOP_MS = 1_000;
+    /** However it goes on, it is due whole by then. */
+    private static final long WHOLE_MS = 4_000;
     /**
      * Pause after an answer that came at once and told nothing, lest the two of us do nothing else; far below
      * the 200 ms after which a watch is broken off.
@@ -63,8 +65,9 @@
     private long index = -1;
     private long pauseMs = FIRST_PAUSE_MS;
     private boolean calling;
-    /** The answer to the call has begun to come. */
+    /** Whether the answer to the call has begun to come, and when. */
     private boolean begun;
+    private long begunAt;
     private long calledAt;
     private boolean closed;
     private boolean heard;
@@ -168,11 +171,14 @@
 
     /** Bytes of an answer came; one that stops half-way is not waited for as long as a silent watch. */
     private void stir(Channel from) {
-        if (from == channel && calling && !begun) {
-            begun = true;
-            silence.cancel(false);
-            limit(WHOLE_MS);
+        if (from != channel || !calling) {
+            return;
         }
+        begunAt = begun ? begunAt : System.nanoTime();
+        begun = true;
+        long leftMs = WHOLE_MS - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begunAt);
+        silence.cancel(false);
+        limit(Math.max(0, Math.min(STOP_MS, leftMs)));
     }
 
     private void write(Channel to) {
--- a/src/test/java/larkworks/proxy/ProxyTest.java
+++ b/src/test/java/larkworks/proxy/ProxyTest.java
@@ -344,6 +344,22 @@
         }
     }
 
+    @Test
+    void takesAListThatComesSlowlyButSteadily() throws Exception {
+        try (Bench bench = new Bench(1)) {
+            bench.start(folder, "null");
+            Peer.Message asked = bench.discovery.next();
+            String list = bench.all(7);
+            asked.raw("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n");
+            for (int i = 0; i < 5; i++) {
+                Thread.sleep(350);
+                asked.raw(list.substring(list.length() * i / 5, list.length() * (i + 1) / 5));
+            }
+            assertTrue(bench.discovery.next().line().contains("?index=7&"), "the list was taken");
+            serve(bench, 0);
+        }
+    }
+
     /** Neither a list that breaks off nor one that stops half-way is taken in part, or waited for long. */
     @ParameterizedTest
     @ValueSource(strings = {"ends", "stops", "cut", "more"})
