Read a request's head once, and share what both sides check of framing

Frontend read each head twice, at its arrival and at dispatch: what it asks for is now kept and given its body. The colon, transfer coding and length checks of both directions are Framing's, the handler that tells of bytes is ByteWatch for clients and discovery, Driver ends attempts that are out in one place, BackendPool rejects what failed to decode in one place, and equals and hashCode of Upload.Head, which nothing used, are gone.

--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -16,7 +16,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -29,7 +28,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Future;
@@ -354,8 +352,7 @@
 
         Incoming(HttpResponse head) {
             this.head = head;
-            this.length = HttpUtil.isTransferEncodingChunked(head) ? -1
-                    : HttpUtil.getContentLength(head, -1L);
+            this.length = Framing.length(head);
         }
 
         boolean serves() {
@@ -420,6 +417,7 @@
         protected void channelRead0(ChannelHandlerContext context, HttpObject object) {
             if (object.decoderResult().isFailure()) {
                 reject();
+                return;
             }
             if (object instanceof HttpResponse head) {
                 begin(head);
@@ -436,8 +434,9 @@
         }
 
         private void begin(HttpResponse head) {
-            if (current == null || answer != null || incoming != null || head.decoderResult().isFailure()
-                    || head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS) || codedOtherwise(head)) {
+            if (current == null || answer != null || incoming != null
+                    || head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
+                    || Framing.codedOddly(head)) {
                 // Nor is a body the backend's whose transfer coding is not undone here.
                 reject();
                 return;
@@ -460,7 +459,7 @@
         }
 
         private void part(HttpContent content) {
-            if (interim || incoming == null || content.decoderResult().isFailure()) {
+            if (interim || incoming == null) {
                 interim &= !(content instanceof LastHttpContent);
                 return;
             }
@@ -587,14 +586,6 @@
         }
     }
 
-    /** Whether the body came in a transfer coding other than chunked. */
-    private static boolean codedOtherwise(HttpResponse head) {
-        List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        return !codings.isEmpty()
-                && !(codings.size() == 1
-                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0).strip()));
-    }
-
     /** The body of an answer to a probe as text. */
     static String text(byte[] body) {
         return body == null ? null : new String(body, StandardCharsets.US_ASCII);
--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -141,13 +140,8 @@
                     .handler(new ChannelInitializer<SocketChannel>() {
                         @Override
                         protected void initChannel(SocketChannel fresh) {
-                            fresh.pipeline().addLast(new ChannelInboundHandlerAdapter() {
-                                @Override
-                                public void channelRead(ChannelHandlerContext context, Object bytes) {
-                                    stir(fresh);
-                                    context.fireChannelRead(bytes);
-                                }
-                            }, new HttpRequestEncoder(), new ResponseDecoder(),
+                            fresh.pipeline().addLast(new ByteWatch(() -> stir(fresh)),
+                                    new HttpRequestEncoder(), new ResponseDecoder(),
                                     new HttpObjectAggregator(MOST_LIST), new Reader());
                         }
                     }).connect(address);
--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -70,7 +70,14 @@
      */
     record Inbound(String callId, HttpMethod method, String uri, String idempotencyKey, byte[] body,
             Upload upload, String type, int requestClass, int tenant, long timeLeftUs, long workUs,
-            boolean again, long takenAtUs) { }
+            boolean again, long takenAtUs) {
+
+        /** The same request with its body, once that has come or begins to be passed on. */
+        Inbound with(byte[] whole, Upload passing, long atUs) {
+            return new Inbound(callId, method, uri, idempotencyKey, whole, passing, type, requestClass,
+                    tenant, timeLeftUs, workUs, again, atUs);
+        }
+    }
 
     /** A backend as discovery last listed it. */
     private static final class Backend {
@@ -240,6 +247,12 @@
         enter(() -> balancer.maintenance(clock.nowUs(), server, leave));
     }
 
+    /** Ends an attempt that is out; the module hears of it once what goes on now is over. */
+    private void callOff(Try attempt, Outcome outcome) {
+        attempt.exchange.abandon();
+        loop.execute(() -> ended(attempt, Answer.of(outcome)));
+    }
+
     private void retire() {
         pool.retire(out.stream().map(backends::get).filter(b -> b != null && b.address != null)
                 .map(b -> b.address).collect(Collectors.toSet()));
@@ -249,10 +262,7 @@
     private void endConnecting(String server) {
         List<Try> tries = requests.values().stream().flatMap(held -> held.tries.stream())
                 .filter(t -> !t.ended && t.server.equals(server) && !t.exchange.begun()).toList();
-        for (Try attempt : tries) {
-            attempt.exchange.abandon();
-            loop.execute(() -> ended(attempt, Answer.of(Outcome.NOT_SENT)));
-        }
+        tries.forEach(attempt -> callOff(attempt, Outcome.NOT_SENT));
         List<Probe> asking = probes.stream()
                 .filter(p -> p.server.equals(server) && !p.exchange.begun()).toList();
         for (Probe probe : asking) {
@@ -279,7 +289,7 @@
         Held held = new Held(Long.toString(++lastId), inbound, client, deadlineUs);
         requests.put(held.id, held);
         if (inbound.upload() == null) {
-            guard(held, now);
+            armGuard(held, now);
         } else {
             inbound.upload().onSpent(() -> enter(() -> balancer.bodySpent(clock.nowUs(), held.id)));
         }
@@ -295,7 +305,7 @@
         return held;
     }
 
-    private void guard(Held held, long now) {
+    private void armGuard(Held held, long now) {
         held.guard = loop.schedule(() -> guard(held), Math.max(0, held.deadlineUs - GUARD_US - now),
                 TimeUnit.MICROSECONDS);
     }
@@ -308,7 +318,7 @@
         long now = clock.nowUs();
         held.uploadedUs = now;
         held.deadlineUs = now + held.inbound.timeLeftUs();
-        guard(held, now);
+        armGuard(held, now);
         held.tries.stream().filter(attempt -> !attempt.ended).forEach(attempt -> limit(attempt, now,
                 held.deadlineUs));
         enter(() -> balancer.uploaded(clock.nowUs(), held.id));
@@ -421,10 +431,8 @@
         }
         if (held.uploading()) {
             // No time-out runs on what will never be whole.
-            held.tries.stream().filter(t -> !t.ended && t != held.answering).forEach(attempt -> {
-                attempt.exchange.abandon();
-                loop.execute(() -> ended(attempt, Answer.of(Outcome.CANCELLED)));
-            });
+            held.tries.stream().filter(t -> !t.ended && t != held.answering)
+                    .forEach(attempt -> callOff(attempt, Outcome.CANCELLED));
         }
     }
 
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -127,13 +127,8 @@
                     @Override
                     protected void initChannel(Channel channel) {
                         Connection connection = new Connection(channel);
-                        channel.pipeline().addLast(new ChannelInboundHandlerAdapter() {
-                            @Override
-                            public void channelRead(ChannelHandlerContext context, Object bytes) {
-                                connection.stir();
-                                context.fireChannelRead(bytes);
-                            }
-                        }, new RequestDecoder(), new HttpResponseEncoder(), connection);
+                        channel.pipeline().addLast(new ByteWatch(connection::stir),
+                                new RequestDecoder(), new HttpResponseEncoder(), connection);
                     }
                 });
         if (shared) {
@@ -254,8 +249,7 @@
     }
 
     /** What a request asks for, by its head alone. */
-    private Driver.Inbound read(HttpRequest request, byte[] body, Upload upload, long takenAtUs)
-            throws Rejected {
+    private Driver.Inbound read(HttpRequest request) throws Rejected {
         HttpHeaders headers = request.headers();
         String id = headers.get("X-Call-Id");
         if (id == null || id.isBlank()) {
@@ -276,10 +270,10 @@
             throw new Rejected(HttpResponseStatus.BAD_REQUEST, "no Idempotency-Key");
         }
         long budgetUs = number(headers, "X-Budget-Ms", kind.deadlineUs() / 1000) * 1000;
-        return new Driver.Inbound(id, request.method(), request.uri(), key, body, upload,
+        return new Driver.Inbound(id, request.method(), request.uri(), key, null, null,
                 headers.get(HttpHeaderNames.CONTENT_TYPE), number,
                 tenants.getOrDefault(headers.get("X-Caller"), 0), budgetUs,
-                number(headers, "X-Call-Cost", 0), "1".equals(headers.get("X-Again")), takenAtUs);
+                number(headers, "X-Call-Cost", 0), "1".equals(headers.get("X-Again")), 0);
     }
 
     /** Whether a body may come, and in a form that is taken here. */
@@ -321,7 +315,11 @@
     private final class Connection extends ChannelInboundHandlerAdapter {
 
         /** Something that came behind the request in hand. */
-        private record Later(HttpObject object, long atUs) { }
+        private record Later(HttpObject object, long atUs) {
+            int bytes() {
+                return object instanceof HttpContent content ? content.content().readableBytes() : 0;
+            }
+        }
 
         private final Channel channel;
         private final long openedMs = nowMs();
@@ -338,6 +336,8 @@
         /** Its part of {@link #heldBytes}. */
         private int holding;
         private long bodyFromMs;
+        /** What its head asks for, still without its body; null where it can't be taken. */
+        private Driver.Inbound asked;
         private Rejected rejected;
         private boolean keep;
         /** Handed to the driver and not answered yet. */
@@ -404,8 +404,9 @@
             if (closing) {
                 ReferenceCountUtil.release(object);
             } else if (head != null && !receiving) {
-                later.add(new Later(object, now));
-                laterBytes += object instanceof HttpContent content ? content.content().readableBytes() : 0;
+                Later behind = new Later(object, now);
+                later.add(behind);
+                laterBytes += behind.bytes();
                 if (laterBytes > BackendPool.MOST_BODY || later.size() > MOST_WAITING) {
                     channel.config().setAutoRead(false);
                 }
@@ -452,6 +453,7 @@
         private void begin(HttpRequest request) throws Rejected {
             head = request;
             receiving = true;
+            asked = null;
             rejected = null;
             received = 0;
             body = Unpooled.buffer(0);
@@ -462,7 +464,7 @@
             checkBody(request);
             if (!isHealth()) {
                 try {
-                    read(request, null, null, 0);
+                    asked = read(request);
                 } catch (Rejected e) {
                     // With its body read, if that is short, the connection can go on.
                     rejected = e;
@@ -538,17 +540,16 @@
         }
 
         /** The body is too large to be held: what came and what will come goes on as it comes. */
-        private void pass(long atUs) throws Rejected {
-            upload = new Upload(channel, flow, HttpUtil.isTransferEncodingChunked(head) ? -1
-                    : HttpUtil.getContentLength(head, -1L), body, this::holdNothing);
+        private void pass(long atUs) {
+            upload = new Upload(channel, flow, Framing.length(head), body, this::holdNothing);
             body = null;
-            dispatch(read(head, null, upload, atUs));
+            dispatch(asked.with(null, upload, atUs));
             if (upload != null) {
                 upload.regulate();
             }
         }
 
-        private void whole(long atUs) throws Rejected {
+        private void whole(long atUs) {
             receiving = false;
             patience(null);
             if (upload != null) {
@@ -566,7 +567,7 @@
             } else if (isHealth()) {
                 answer(health(head.uri()), null, null, -1);
             } else {
-                dispatch(read(head, all, null, atUs));
+                dispatch(asked.with(all, null, atUs));
             }
         }
 
@@ -692,8 +693,7 @@
         private void takeLater() {
             while (!later.isEmpty() && !closing && (head == null || receiving)) {
                 Later first = later.poll();
-                laterBytes -= first.object() instanceof HttpContent content
-                        ? content.content().readableBytes() : 0;
+                laterBytes -= first.bytes();
                 take(first.object(), first.atUs());
             }
             if (later.isEmpty() && upload == null) {
--- a/src/main/java/larkworks/proxy/ResponseDecoder.java
+++ b/src/main/java/larkworks/proxy/ResponseDecoder.java
@@ -23,12 +23,9 @@
         return super.createMessage(statusLine);
     }
 
-    /** The name ends before a colon or a blank, so there always is a byte behind it. */
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-        if (line[start + length] != ':') {
-            throw new IllegalArgumentException("no colon behind a field's name");
-        }
+        Framing.requireColon(line, start, length);
         return super.splitHeaderName(line, start, length);
     }
 }
--- a/src/main/java/larkworks/proxy/Upload.java
+++ b/src/main/java/larkworks/proxy/Upload.java
@@ -5,6 +5,8 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
@@ -30,16 +32,6 @@
         Upload body() {
             return body;
         }
-
-        @Override
-        public boolean equals(Object other) {
-            return this == other;
-        }
-
-        @Override
-        public int hashCode() {
-            return System.identityHashCode(this);
-        }
     }
 
     private final Channel client;
@@ -81,9 +73,9 @@
     /** How its length is told to a backend. */
     void describe(HttpHeaders headers) {
         if (length >= 0) {
-            headers.set("Content-Length", length);
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
         } else {
-            headers.set("Transfer-Encoding", "chunked");
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
     }
 
--- a/src/test/java/larkworks/proxy/LargeBodyTest.java
+++ b/src/test/java/larkworks/proxy/LargeBodyTest.java
@@ -152,6 +152,12 @@
         return new Line(backend.accept());
     }
 
+    /** Has the backend answer and the client be served. */
+    private static void assertServed(Line server, Line client) throws IOException {
+        server.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        assertTrue(client.head().startsWith("HTTP/1.1 200 "));
+    }
+
     private static String get(String id, String... headers) {
         return "GET /look HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Call-Class: look\r\n"
                 + "X-Budget-Ms: 20000\r\n" + String.join("", headers) + "\r\n";
@@ -362,8 +368,7 @@
         byte[] got = server.chunks();
         assertEquals(100_002, got.length);
         assertArrayEquals(Arrays.copyOf(body, 100_000), Arrays.copyOf(got, 100_000));
-        server.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-        assertTrue(client.head().startsWith("HTTP/1.1 200 "));
+        assertServed(server, client);
     }
 
     @Test
@@ -375,8 +380,7 @@
         Thread.sleep(900);
         client.send(body, 90_000, 100_000);
         server.bytes(100_000);
-        server.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-        assertTrue(client.head().startsWith("HTTP/1.1 200 "));
+        assertServed(server, client);
     }
 
     @Test
@@ -401,8 +405,7 @@
         Line server = accepted();
         server.head();
         assertEquals("abc", new String(server.bytes(3)));
-        server.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-        assertTrue(client.head().startsWith("HTTP/1.1 200 "));
+        assertServed(server, client);
     }
 
     @Test
@@ -425,8 +428,7 @@
         Line server = accepted();
         server.head();
         assertEquals("ab", new String(server.bytes(2)));
-        server.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-        assertTrue(client.head().startsWith("HTTP/1.1 200 "));
+        assertServed(server, client);
     }
 
     @ParameterizedTest
