Add SWIM membership with Lifeguard suspicion as a member process of its own

This lands the first slice of membership in larkworks.fleet, laid out as docs/design.md says: a pure state machine (Membership, MemberTable, Suspicion, Broadcasts) that takes datagrams and ticks on the caller's clock, a 256-byte binary codec with version byte, sender id and CRC32 (PeerCodec), a Netty UDP rim (PeerSocket), and larkworks.fleet.Agent, a member process that logs each change of its view as one JSON line. Nothing of it is on the proxy's path: deploy/balancer.toml's run is unchanged and builds none of it.

Tests: a UDP fault relay (loss, delay with jitter, duplicates, partitions, changeable while running) and a launcher of real member processes. With 5 processes: kill -9 under 20 % loss and 5 % duplicates is seen dead by every survivor, no survivor ever held dead; SIGSTOP 2 s then SIGCONT is no eviction; a 3/2 partition parts, the smaller half says minority, and it heals; a restart with the same address is newer than its old self. jqwik: any message fits 256 bytes and reads back; any flipped bit is caught; any garbage or a wrong sender changes no row and is counted.

--- /dev/null
+++ b/src/main/java/larkworks/fleet/MemberTable.java
@@ -0,0 +1,72 @@
+package larkworks.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What one process holds of every member: state, incarnation, last heard. Its own row is itself. */
+final class MemberTable {
+
+    /**
+     * A member as the table holds it.
+     *
+     * @param id position in {@code peers}
+     * @param state what is held
+     * @param incarnation the incarnation it is held at
+     * @param lastHeardUs when a datagram of its own came last, caller's clock; the start for none
+     */
+    record Row(int id, MemberState state, long incarnation, long lastHeardUs) { }
+
+    private final MemberState[] states;
+    private final long[] incarnations;
+    private final long[] heardUs;
+
+    MemberTable(int size, long nowUs) {
+        states = new MemberState[size];
+        incarnations = new long[size];
+        heardUs = new long[size];
+        java.util.Arrays.fill(states, MemberState.ALIVE);
+        java.util.Arrays.fill(heardUs, nowUs);
+    }
+
+    int size() {
+        return states.length;
+    }
+
+    MemberState state(int id) {
+        return states[id];
+    }
+
+    long incarnation(int id) {
+        return incarnations[id];
+    }
+
+    long heardUs(int id) {
+        return heardUs[id];
+    }
+
+    void heard(int id, long nowUs) {
+        heardUs[id] = Math.max(heardUs[id], nowUs);
+    }
+
+    void set(int id, MemberState state, long incarnation) {
+        states[id] = state;
+        incarnations[id] = incarnation;
+    }
+
+    /** Members held alive or suspect, its own row included. */
+    int present() {
+        int count = 0;
+        for (MemberState s : states) {
+            count += s.probed() ? 1 : 0;
+        }
+        return count;
+    }
+
+    List<Row> rows() {
+        List<Row> rows = new ArrayList<>(states.length);
+        for (int i = 0; i < states.length; i++) {
+            rows.add(new Row(i, states[i], incarnations[i], heardUs[i]));
+        }
+        return rows;
+    }
+}
--- /dev/null
+++ b/src/main/java/larkworks/fleet/MembershipSettings.java
@@ -0,0 +1,58 @@
+package larkworks.fleet;
+
+/**
+ * The failure detector's figures; times in microseconds on the caller's clock.
+ *
+ * @param probeIntervalUs one probe a member each period (SWIM's T')
+ * @param probeTimeoutUs no ack by then asks {@code indirectChecks} others to probe
+ * @param indirectChecks SWIM's k, and Lifeguard's expected confirmations of a suspicion
+ * @param suspicionAlpha the least suspicion time is alpha * max(1, log10 n) periods
+ * @param suspicionBeta the longest is beta times the least, before any confirmation
+ * @param retransmitMult lambda: an update is sent lambda * ceil(log10(n + 1)) times
+ * @param deadProbePeriods every so many periods one dead member is pinged, so that a healed partition
+ *     converges
+ */
+public record MembershipSettings(long probeIntervalUs, long probeTimeoutUs, int indirectChecks,
+        double suspicionAlpha, double suspicionBeta, int retransmitMult, int deadProbePeriods) {
+
+    /**
+     * Checks the figures.
+     *
+     * @throws IllegalArgumentException naming the first figure out of range
+     */
+    public MembershipSettings {
+        if (probeIntervalUs < 1_000) {
+            throw new IllegalArgumentException("probe_interval_ms must be 1 or more");
+        }
+        if (probeTimeoutUs <= 0 || probeTimeoutUs >= probeIntervalUs) {
+            throw new IllegalArgumentException("probe_timeout_ms must be above 0 and below the interval");
+        }
+        if (indirectChecks < 0 || suspicionAlpha <= 0 || suspicionBeta < 1 || retransmitMult < 1
+                || deadProbePeriods < 1) {
+            throw new IllegalArgumentException("indirect_checks >= 0, suspicion_alpha > 0, "
+                    + "suspicion_beta >= 1, retransmit_mult >= 1, dead_probe_periods >= 1 are wanted");
+        }
+    }
+
+    /**
+     * memberlist's LAN figures, halved in time as all members share one machine: 500 ms periods, 200 ms
+     * time-out, k = 3, alpha 5, beta 6, lambda 4. What grows with the fleet is derived from n at use:
+     * the suspicion time (log10 n) and the retransmits (log10(n + 1)); the load a member bears does not.
+     */
+    public static MembershipSettings defaults() {
+        return new MembershipSettings(500_000, 200_000, 3, 5, 6, 4, 4);
+    }
+
+    /** Least suspicion time for {@code n} members. */
+    long suspicionMinUs(int n) {
+        return (long) (suspicionAlpha * Math.max(1, Math.log10(n)) * probeIntervalUs);
+    }
+
+    long suspicionMaxUs(int n) {
+        return (long) (suspicionBeta * suspicionMinUs(n));
+    }
+
+    int retransmits(int n) {
+        return retransmitMult * (int) Math.ceil(Math.log10(n + 1));
+    }
+}
