--- a/src/test/java/larkworks/fleet/Fleet.java
+++ b/src/test/java/larkworks/fleet/Fleet.java
@@ -64,6 +64,7 @@
                 "larkworks.fleet.Agent", configs.get(i).toString())
                 .redirectError(ProcessBuilder.Redirect.INHERIT).start();
         processes.set(i, p);
+        views.set(i, new ConcurrentHashMap<>());  // a new process holds all alive, whatever its old self held
         Thread reader = new Thread(() -> read(i, p), "log-" + i);
         reader.setDaemon(true);
         reader.start();
--- a/src/test/java/larkworks/fleet/UdpRelay.java
+++ b/src/test/java/larkworks/fleet/UdpRelay.java
@@ -33,6 +33,9 @@
     private volatile int delayMs;
     private volatile int jitterMs;
     private volatile int[] group;
+    /** Datagrams and bytes that members sent, before any fault. */
+    final java.util.concurrent.atomic.AtomicLong datagrams = new java.util.concurrent.atomic.AtomicLong();
+    final java.util.concurrent.atomic.AtomicLong bytes = new java.util.concurrent.atomic.AtomicLong();
 
     /** @param backs where the members really listen, by id */
     UdpRelay(List<InetSocketAddress> backs) throws SocketException {
@@ -87,6 +90,8 @@
             } catch (IOException e) {
                 return;  // closed
             }
+            datagrams.incrementAndGet();
+            bytes.addAndGet(p.getLength());
             Integer from = senders.get((InetSocketAddress) p.getSocketAddress());
             if (from == null || group[from] != group[to]) {
                 continue;
