Start test members on the tests' class path: a fresh clone has no jar yet

In a fresh clone mvn verify runs the tests before package, so target/larkworks.jar did not exist and all three process tests failed there (3 of 251, found by verifying a clean clone); the working tree hid it. Members now start on the test JVM's class path.

--- a/src/test/java/larkworks/fleet/Fleet.java
+++ b/src/test/java/larkworks/fleet/Fleet.java
@@ -58,9 +58,9 @@
         return a.getAddress().getHostAddress() + ":" + a.getPort();
     }
 
-    /** Starts member i, anew where it ran before. */
+    /** Starts member i, anew where it ran before; on the tests' own class path, as no jar is built yet. */
     void start(int i) throws IOException {
-        Process p = new ProcessBuilder("java", "-XX:+UseSerialGC", "-Xmx32m", "-cp", "target/larkworks.jar",
+        Process p = new ProcessBuilder("java", "-XX:+UseSerialGC", "-Xmx32m", "-cp", System.getProperty("java.class.path"),
                 "larkworks.fleet.Agent", configs.get(i).toString())
                 .redirectError(ProcessBuilder.Redirect.INHERIT).start();
         processes.set(i, p);
