--- a/src/test/java/larkworks/fleet/Fleet.java
+++ b/src/test/java/larkworks/fleet/Fleet.java
@@ -60,7 +60,8 @@
 
     /** Starts member i, anew where it ran before; on the tests' own class path, as no jar is built yet. */
     void start(int i) throws IOException {
-        Process p = new ProcessBuilder("java", "-XX:+UseSerialGC", "-Xmx32m", "-cp", System.getProperty("java.class.path"),
+        Process p = new ProcessBuilder("java", "-XX:+UseSerialGC", "-Xmx32m",
+                "-cp", System.getProperty("java.class.path"),
                 "larkworks.fleet.Agent", configs.get(i).toString())
                 .redirectError(ProcessBuilder.Redirect.INHERIT).start();
         processes.set(i, p);
