Parse peers' addresses with the proxy's parser, and keep one view check for fleet tests

Reading the change again: larkworks.fleet.Agent had written its own host:port parser beside the proxy's Config.address; the parser now lives in larkworks.proxy.Addresses and both call it (the agent keeps its message, key first). The process test and the experiment each had the same 'all of these members hold that one in this state' check; it is Fleet.allHold now.

--- a/src/main/java/larkworks/fleet/Agent.java
+++ b/src/main/java/larkworks/fleet/Agent.java
@@ -7,11 +7,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,6 +19,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import larkworks.adapter.Json;
+import larkworks.proxy.Addresses;
 
 /**
  * A member process alone: {@code java -cp larkworks.jar larkworks.fleet.Agent CONFIG}. CONFIG is JSON with
@@ -189,19 +188,11 @@
         throw new IllegalArgumentException("membership." + key + ": a number is wanted, not '" + v + "'");
     }
 
-    /** {@code host:port} with an IPv4 literal: the peers are on 127.0.0.0/8. */
     private static InetSocketAddress address(Object value, String key) {
-        String text = String.valueOf(value);
-        int colon = text.lastIndexOf(':');
-        byte[] host = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
         try {
-            if (host == null) {
-                throw new IllegalArgumentException("no IP literal");
-            }
-            return new InetSocketAddress(InetAddress.getByAddress(host),
-                    Integer.parseInt(text.substring(colon + 1)));
-        } catch (IOException | IllegalArgumentException e) {
-            throw new IllegalArgumentException(key + ": '" + text + "' is no address and port", e);
+            return Addresses.parse(value);
+        } catch (IllegalArgumentException e) {
+            throw new IllegalArgumentException(key + ": '" + value + "' is no address and port", e);
         }
     }
 }
--- a/src/main/java/larkworks/proxy/Config.java
+++ b/src/main/java/larkworks/proxy/Config.java
@@ -1,10 +1,7 @@
 package larkworks.proxy;
 
-import io.netty.util.NetUtil;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -106,22 +103,8 @@
         throw new IllegalArgumentException(key + " is missing or no number");
     }
 
-    /** Reads {@code host:port}, the host an IP address in full: a look-up of a name would stop the loop. */
+    /** Reads {@code host:port}; see {@link Addresses#parse}. */
     static InetSocketAddress address(Object value) {
-        String text = String.valueOf(value);
-        int colon = text.lastIndexOf(':');
-        String host = text.substring(0, Math.max(0, colon));
-        boolean bracketed = host.startsWith("[") && host.endsWith("]");
-        boolean literal = bracketed ? NetUtil.isValidIpV6Address(host.substring(1, host.length() - 1))
-                : NetUtil.isValidIpV4Address(host);
-        if (!literal) {
-            throw new IllegalArgumentException("'" + text + "' is no address and port");
-        }
-        try {
-            return new InetSocketAddress(InetAddress.getByName(host),
-                    Integer.parseInt(text.substring(colon + 1)));
-        } catch (UnknownHostException e) {
-            throw new IllegalArgumentException("'" + text + "' is no address and port", e);
-        }
+        return Addresses.parse(value);
     }
 }
--- a/src/test/java/larkworks/fleet/Fleet.java
+++ b/src/test/java/larkworks/fleet/Fleet.java
@@ -92,6 +92,11 @@
         return views.get(i).getOrDefault(about, "alive");
     }
 
+    /** Whether every member of {@code who} holds {@code about} in {@code state}. */
+    boolean allHold(List<Integer> who, int about, String state) {
+        return who.stream().allMatch(i -> view(i, about).equals(state));
+    }
+
     /** Every member's view, for a failure's message. */
     String views() {
         StringBuilder text = new StringBuilder();
--- a/src/test/java/larkworks/fleet/MembershipExperiment.java
+++ b/src/test/java/larkworks/fleet/MembershipExperiment.java
@@ -18,10 +18,6 @@
 
     private MembershipExperiment() { }
 
-    private static boolean holdAll(Fleet fleet, List<Integer> who, int about, String state) {
-        return who.stream().allMatch(i -> fleet.view(i, about).equals(state));
-    }
-
     /** Runs the experiment; arguments as above. */
     public static void main(String[] args) throws Exception {
         int n = Integer.parseInt(args[0]);
@@ -46,7 +42,7 @@
                 long killedNs = System.nanoTime();
                 kills.add(new long[] {killedNs, victim});
                 fleet.kill(victim);
-                if (!Fleet.await(60_000, () -> holdAll(fleet, survivors, victim, "dead"))) {
+                if (!Fleet.await(60_000, () -> fleet.allHold(survivors, victim, "dead"))) {
                     throw new IllegalStateException("trial " + t + ": not dead everywhere: " + fleet.views());
                 }
                 long last = fleet.lines.stream().filter(l -> "changed".equals(l.get("message"))
@@ -54,7 +50,7 @@
                         .mapToLong(l -> (Long) l.get("at")).filter(at -> at > killedNs).max().orElseThrow();
                 detections.add((last - killedNs) / 1e9);
                 fleet.start(victim);
-                if (!Fleet.await(60_000, () -> holdAll(fleet, survivors, victim, "alive"))) {
+                if (!Fleet.await(60_000, () -> fleet.allHold(survivors, victim, "alive"))) {
                     throw new IllegalStateException("trial " + t + ": never back: " + fleet.views());
                 }
             }
--- a/src/test/java/larkworks/fleet/MembershipProcessTest.java
+++ b/src/test/java/larkworks/fleet/MembershipProcessTest.java
@@ -26,10 +26,6 @@
                 && by.contains(((Number) l.get("member")).intValue()));
     }
 
-    private static boolean allSee(Fleet fleet, List<Integer> who, int about, String state) {
-        return who.stream().allMatch(i -> fleet.view(i, about).equals(state));
-    }
-
     @Test
     void killedMemberIsDeadAtEverySurvivorAt20PercentLossWithNoFalseDeath() throws Exception {
         try (Fleet fleet = new Fleet(5, FIGURES, folder)) {
@@ -40,7 +36,7 @@
             Thread.sleep(3_000);  // a stretch of loss before the kill, for false deaths to show if any
             fleet.kill(4);
             List<Integer> survivors = List.of(0, 1, 2, 3);
-            assertTrue(Fleet.await(25_000, () -> allSee(fleet, survivors, 4, "dead")),
+            assertTrue(Fleet.await(25_000, () -> fleet.allHold(survivors, 4, "dead")),
                     "4 not dead everywhere");
             assertTrue(!everDead(fleet, survivors, survivors), "a survivor was held dead");
         }
@@ -55,12 +51,12 @@
             fleet.signal(2, "STOP");
             Thread.sleep(2_000);
             fleet.signal(2, "CONT");
-            assertTrue(Fleet.await(10_000, () -> allSee(fleet, List.of(0, 1, 3, 4), 2, "alive")));
+            assertTrue(Fleet.await(10_000, () -> fleet.allHold(List.of(0, 1, 3, 4), 2, "alive")));
             assertTrue(!everDead(fleet, all, all), "a paused member was evicted");
 
             fleet.relay.partition(0, 0, 0, 1, 1);
-            assertTrue(Fleet.await(30_000, () -> allSee(fleet, List.of(0, 1, 2), 3, "dead")
-                    && allSee(fleet, List.of(3, 4), 0, "dead")), "the halves never parted");
+            assertTrue(Fleet.await(30_000, () -> fleet.allHold(List.of(0, 1, 2), 3, "dead")
+                    && fleet.allHold(List.of(3, 4), 0, "dead")), "the halves never parted");
             assertTrue(Fleet.await(5_000, () -> fleet.lines.stream()
                     .anyMatch(l -> "minority".equals(l.get("message"))
                     && ((Number) l.get("member")).intValue() >= 3)), "the smaller half never said minority");
@@ -76,9 +72,9 @@
             assertTrue(Fleet.await(10_000, () -> fleet.started() == 3));
             Thread.sleep(1_100);  // a new incarnation is the wall clock in seconds
             fleet.kill(1);
-            assertTrue(Fleet.await(25_000, () -> allSee(fleet, List.of(0, 2), 1, "dead")));
+            assertTrue(Fleet.await(25_000, () -> fleet.allHold(List.of(0, 2), 1, "dead")));
             fleet.start(1);
-            assertTrue(Fleet.await(15_000, () -> allSee(fleet, List.of(0, 2), 1, "alive")));
+            assertTrue(Fleet.await(15_000, () -> fleet.allHold(List.of(0, 2), 1, "alive")));
             assertEquals(4, fleet.started());
         }
     }
