Run membership in the proxy, with Lifeguard's local health, nacks and anti-entropy

FleetMember holds the state machine, socket and ticks for the proxy and the agent; Prober, LocalHealth and PartitionWatch take detection and the minority test out of Membership; FleetConfig reads DEPLOY's peer_listen, peers, peers_all and names every fault at once. /ops/members shows the table. Updates about a receiver are no longer counted as sent when left out.

--- a/src/main/java/larkworks/fleet/Broadcasts.java
+++ b/src/main/java/larkworks/fleet/Broadcasts.java
@@ -36,12 +36,14 @@
      * Takes up to {@code most} updates to send now, counting each as sent once more.
      *
      * @param limit how often an update is sent in all: lambda * ceil(log10(n + 1))
+     * @param except a member of which nothing is taken, as its receiver hears of it already; -1 for none
      */
-    List<Update> take(int most, int limit) {
+    List<Update> take(int most, int limit, int except) {
         if (byMember.isEmpty() || most <= 0) {
             return List.of();
         }
         List<Entry> entries = new ArrayList<>(byMember.values());
+        entries.removeIf(e -> e.update.member() == except);
         // The least-sent first, and among those the newest, which has the most to say.
         entries.sort(Comparator.comparingInt((Entry e) -> e.sent).thenComparing(e -> -e.order));
         List<Update> taken = new ArrayList<>(Math.min(most, entries.size()));
--- a/src/main/java/larkworks/fleet/MemberTable.java
+++ b/src/main/java/larkworks/fleet/MemberTable.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** What one process holds of every member: state, incarnation, last heard. Its own row is itself. */
-final class MemberTable {
+public final class MemberTable {
 
     /**
      * A member as the table holds it.
@@ -14,7 +14,7 @@
      * @param incarnation the incarnation it is held at
      * @param lastHeardUs when a datagram of its own came last, caller's clock; the start for none
      */
-    record Row(int id, MemberState state, long incarnation, long lastHeardUs) { }
+    public record Row(int id, MemberState state, long incarnation, long lastHeardUs) { }
 
     private final MemberState[] states;
     private final long[] incarnations;
@@ -48,20 +48,18 @@
         heardUs[id] = Math.max(heardUs[id], nowUs);
     }
 
+    /** Counts a time in which this process stood still as if it had not been. */
+    void extend(long byUs, long nowUs) {
+        for (int i = 0; i < heardUs.length; i++) {
+            heardUs[i] = Math.min(nowUs, heardUs[i] + byUs);
+        }
+    }
+
     void set(int id, MemberState state, long incarnation) {
         states[id] = state;
         incarnations[id] = incarnation;
     }
 
-    /** Members held alive or suspect, its own row included. */
-    int present() {
-        int count = 0;
-        for (MemberState s : states) {
-            count += s.probed() ? 1 : 0;
-        }
-        return count;
-    }
-
     List<Row> rows() {
         List<Row> rows = new ArrayList<>(states.length);
         for (int i = 0; i < states.length; i++) {
--- a/src/main/java/larkworks/fleet/Membership.java
+++ b/src/main/java/larkworks/fleet/Membership.java
@@ -1,68 +1,62 @@
 package larkworks.fleet;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collections;
-import java.util.Deque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 
 /**
- * One member's SWIM state machine (Das et al. 2002, with Lifeguard's suspicion): it takes datagrams and
+ * One member's SWIM state machine (Das et al. 2002, with Lifeguard's refinements): it takes datagrams and
  * ticks on the caller's clock (microseconds) and leaves datagrams in {@link #drain()}; no I/O, no clock of
- * its own. Members are ids, their positions in {@code peers}; the rim maps addresses to ids.
+ * its own. Members are ids, their positions in {@code peers}; the rim maps addresses to ids. It owns the
+ * merge of views; {@link Prober} owns detection.
  */
 public final class Membership {
 
+    /** In {@link Outgoing#to()}: for every other member, by {@code peers_all} where there is one. */
+    public static final int EVERYONE = -1;
+
     /** What the owner hears of the table; called on the caller's thread. */
     public interface Events {
         /** A member's state changed in this process's view. */
         void changed(int member, MemberState from, MemberState to, long incarnation);
 
-        /** A datagram was dropped unread; {@code why} names the fault. */
+        /** A datagram was dropped unread; {@code why} names the fault, one of a few fixed texts. */
         void dropped(String why);
+
+        /** This process has come into a minority, or out of it: see {@link #minority()}. */
+        default void minority(boolean now) { }
     }
 
     /**
      * A datagram to send.
      *
-     * @param to the member's id
+     * @param to the member's id, or {@link #EVERYONE}
      * @param bytes at most {@link PeerCodec#MOST_BYTES}
      */
     public record Outgoing(int to, byte[] bytes) { }
 
-    private record Relayed(int origin, long originSequence, long untilUs) { }
-
     private final int self;
     private final int size;
     private final MembershipSettings settings;
-    private final Random random;
     private final Events events;
     private final MemberTable table;
     private final Broadcasts broadcasts = new Broadcasts();
     private final Map<Integer, Suspicion> suspicions = new HashMap<>();
-    private final Map<Long, Relayed> relayed = new HashMap<>();
+    private final LocalHealth health;
+    private final Prober prober;
+    private final PartitionWatch partition;
     private final List<Outgoing> out = new ArrayList<>();
-    private final List<Integer> order = new ArrayList<>();
-    /** (time, members present) for the last longest suspicion time: the base of the minority test. */
-    private final Deque<long[]> presence = new ArrayDeque<>();
     private long incarnation;
-    private long sequence;
-    private long nextPeriodUs;
-    private int periods;
-    private int probeTarget = -1;
-    private long probeSequence;
-    private long probeStartUs;
-    private boolean acked;
-    private boolean askedOthers;
+    private long lastTickUs;
+    private int nextSynced;
+    private boolean minority;
     private boolean leaving;
 
     /**
      * @param self own id, below {@code size}
-     * @param size members in {@code peers}, own included; 1 to 65,535
+     * @param size members in {@code peers}, own included; 1 to 65,534
      * @param incarnation own start incarnation, 0 to 2^32-2: the wall clock in seconds, so that a restart is
      *     newer than its old self
      */
@@ -74,14 +68,16 @@
         this.self = self;
         this.size = size;
         this.settings = settings;
-        this.random = random;
         this.events = events;
         this.incarnation = incarnation;
         table = new MemberTable(size, nowUs);
         table.set(self, MemberState.ALIVE, incarnation);
+        health = new LocalHealth(settings.healthMost());
+        prober = new Prober(self, settings, random, table, health, this::send, nowUs);
+        partition = new PartitionWatch(table, self, settings.suspicionMaxUs(size),
+                2 * settings.probeIntervalUs());
         broadcasts.add(new Update(self, MemberState.ALIVE, incarnation, self));
-        nextPeriodUs = nowUs;
-        presence.add(new long[] {nowUs, table.present()});
+        lastTickUs = nowUs;
     }
 
     /** Takes the datagrams to send since the last call. */
@@ -101,21 +97,35 @@
         return table.rows();
     }
 
+    /** Lifeguard's local health score: 0 when all is well. */
+    public int health() {
+        return health.score();
+    }
+
     /**
-     * Whether this process heard, within the longest suspicion time, from fewer than half of the members
-     * its view held present in that time: its view is then to be taken as stale.
+     * Whether this process reaches fewer than half of the members it last saw alive, as of the last tick:
+     * its view is then to be taken as stale.
      */
-    public boolean minority(long nowUs) {
-        long window = settings.suspicionMaxUs(size);
-        int heard = 1;
-        for (int i = 0; i < size; i++) {
-            heard += i != self && nowUs - table.heardUs(i) <= window ? 1 : 0;
-        }
-        long base = table.present();
-        for (long[] p : presence) {
-            base = Math.max(base, p[1]);
-        }
-        return heard * 2L < base;
+    public boolean minority() {
+        return minority;
+    }
+
+    /** Tells every other member of this process, so that a restart is known at once. */
+    public void join() {
+        announce();
+    }
+
+    /** Leaves for good: every other member is told at once, and nothing is probed after. */
+    public void leave() {
+        leaving = true;
+        broadcasts.add(new Update(self, MemberState.LEFT, incarnation, self));
+        announce();
+    }
+
+    private void announce() {
+        out.add(new Outgoing(EVERYONE, PeerCodec.encode(new Message(Message.Type.ANNOUNCE, self, 0,
+                PeerCodec.NO_MEMBER, List.of(new Update(self,
+                        leaving ? MemberState.LEFT : MemberState.ALIVE, incarnation, self))))));
     }
 
     /**
@@ -131,157 +141,93 @@
             events.dropped(e.getMessage());
             return;
         }
-        if (from < 0 || m.sender() != from || from == self) {
-            events.dropped("sender");
-            return;
-        }
-        for (Update u : m.updates()) {
-            if (u.member() >= size || u.origin() >= size) {
-                events.dropped("member id");
-                return;
-            }
+        if (m.type() == Message.Type.ANNOUNCE && from == self && m.sender() == self) {
+            return;  // peers_all reaches its sender too
         }
-        boolean forUs = m.type() != Message.Type.PING || m.target() == self;
-        boolean validTarget = m.type() != Message.Type.PING_REQ || m.target() < size && m.target() != self;
-        if (!forUs || !validTarget) {
-            events.dropped("target");
+        String fault = fault(m, from);
+        if (fault != null) {
+            events.dropped(fault);
             return;
         }
         table.heard(from, nowUs);
         for (Update u : m.updates()) {
             apply(nowUs, u);
         }
+        if (leaving) {
+            return;  // an answer now would say alive after the farewell
+        }
         switch (m.type()) {
             case PING -> send(from, Message.Type.ACK, m.sequence(), self);
-            case PING_REQ -> {
-                long own = nextSequence();
-                relayed.put(own, new Relayed(from, m.sequence(), nowUs + settings.probeIntervalUs()));
-                send(m.target(), Message.Type.PING, own, m.target());
-            }
-            case ACK -> {
-                if (probeTarget >= 0 && m.sequence() == probeSequence) {
-                    acked = true;
-                } else {
-                    Relayed r = relayed.remove(m.sequence());
-                    if (r != null) {
-                        send(r.origin(), Message.Type.ACK, r.originSequence(), m.target());
-                    }
-                }
-            }
+            case PING_REQ -> prober.relay(nowUs, from, m.sequence(), m.target());
+            case ACK -> prober.ack(m.sequence(), m.target());
+            case NACK -> prober.nack(m.sequence(), m.target());
+            case ANNOUNCE -> { }
             default -> throw new IllegalStateException(m.type().toString());
         }
     }
 
-    /** Moves the detector on: to be called at least every tenth of a probe interval. */
-    public void tick(long nowUs) {
-        if (leaving) {
-            return;
-        }
-        if (probeTarget >= 0 && !acked && !askedOthers && nowUs - probeStartUs >= settings.probeTimeoutUs()) {
-            askedOthers = true;
-            for (int helper : pick(settings.indirectChecks(), probeTarget)) {
-                send(helper, Message.Type.PING_REQ, probeSequence, probeTarget);
-            }
-        }
-        if (nowUs >= nextPeriodUs) {
-            endPeriod(nowUs);
-            nextPeriodUs = Math.max(nextPeriodUs + settings.probeIntervalUs(), nowUs + 1);
+    /** Why a well-formed message is not to be believed; null where it is. */
+    private String fault(Message m, int from) {
+        if (from < 0 || m.sender() != from || from == self) {
+            return "sender";
         }
-        for (Iterator<Map.Entry<Integer, Suspicion>> it = suspicions.entrySet().iterator(); it.hasNext();) {
-            Map.Entry<Integer, Suspicion> e = it.next();
-            if (nowUs >= e.getValue().deadlineUs()) {
-                it.remove();
-                int member = e.getKey();
-                apply(nowUs, new Update(member, MemberState.DEAD, table.incarnation(member), self));
+        for (Update u : m.updates()) {
+            if (u.member() >= size || u.origin() >= size) {
+                return "member id";
             }
         }
-        relayed.values().removeIf(r -> nowUs > r.untilUs());
-        long window = settings.suspicionMaxUs(size);
-        while (presence.size() > 1 && nowUs - presence.peekFirst()[0] > window) {
-            presence.removeFirst();
-        }
+        boolean valid = switch (m.type()) {
+            case PING -> m.target() == self;
+            case PING_REQ -> m.target() < size && m.target() != self;
+            default -> true;
+        };
+        return valid ? null : "target";
     }
 
-    /** Leaves for good: every other member is told at once, and nothing is probed after. */
-    public void leave() {
-        leaving = true;
-        broadcasts.add(new Update(self, MemberState.LEFT, incarnation, self));
-        for (int i = 0; i < size; i++) {
-            if (i != self) {
-                send(i, Message.Type.PING, nextSequence(), i);
-            }
+    /** Moves the detector on: to be called at least every tenth of a probe interval. */
+    public void tick(long nowUs) {
+        if (leaving) {
+            return;
         }
-    }
-
-    private void endPeriod(long nowUs) {
-        if (probeTarget >= 0 && !acked && table.state(probeTarget) == MemberState.ALIVE) {
-            apply(nowUs, new Update(probeTarget, MemberState.SUSPECT, table.incarnation(probeTarget), self));
+        long gap = nowUs - lastTickUs;
+        lastTickUs = nowUs;
+        if (gap > settings.probeIntervalUs()) {
+            stoodStill(nowUs, gap);
         }
-        probeTarget = nextTarget();
-        if (probeTarget >= 0) {
-            probeSequence = nextSequence();
-            probeStartUs = nowUs;
-            acked = false;
-            askedOthers = false;
-            send(probeTarget, Message.Type.PING, probeSequence, probeTarget);
+        int failed = prober.tick(nowUs);
+        if (failed >= 0) {
+            apply(nowUs, new Update(failed, MemberState.SUSPECT, table.incarnation(failed), self));
         }
-        if (++periods % settings.deadProbePeriods() == 0) {
-            List<Integer> dead = new ArrayList<>();
-            for (int i = 0; i < size; i++) {
-                if (table.state(i) == MemberState.DEAD) {
-                    dead.add(i);
-                }
-            }
-            if (!dead.isEmpty()) {
-                int member = dead.get(random.nextInt(dead.size()));
-                send(member, Message.Type.PING, nextSequence(), member);
+        List<Integer> ended = new ArrayList<>();
+        suspicions.forEach((member, s) -> {
+            if (nowUs >= s.deadlineUs()) {
+                ended.add(member);
             }
+        });
+        for (int member : ended) {
+            apply(nowUs, new Update(member, MemberState.DEAD, table.incarnation(member), self));
         }
-    }
-
-    /** Round robin over a shuffled order of the others, shuffled anew each round (SWIM section 4.3). */
-    private int nextTarget() {
-        for (int tries = 0; tries < 2; tries++) {
-            while (!order.isEmpty()) {
-                int next = order.remove(order.size() - 1);
-                if (table.state(next).probed()) {
-                    return next;
-                }
-            }
-            for (int i = 0; i < size; i++) {
-                if (i != self) {
-                    order.add(i);
-                }
-            }
-            Collections.shuffle(order, random);
+        boolean now = partition.minority(nowUs);
+        if (now != minority) {
+            minority = now;
+            events.minority(now);
         }
-        return -1;
     }
 
-    private List<Integer> pick(int most, int except) {
-        List<Integer> candidates = new ArrayList<>();
-        for (int i = 0; i < size; i++) {
-            if (i != self && i != except && table.state(i) == MemberState.ALIVE) {
-                candidates.add(i);
-            }
-        }
-        Collections.shuffle(candidates, random);
-        return candidates.subList(0, Math.min(most, candidates.size()));
+    /**
+     * This process was paused (SIGSTOP, a starved core): what it did not hear in that time says nothing of
+     * others, so every time that runs against them starts again from where it stood.
+     */
+    private void stoodStill(long nowUs, long gapUs) {
+        suspicions.values().forEach(s -> s.extend(gapUs));
+        table.extend(gapUs, nowUs);
+        prober.restart(nowUs);
     }
 
     private void apply(long nowUs, Update u) {
         int member = u.member();
         if (member == self) {
-            if (u.state() == MemberState.ALIVE || leaving) {
-                return;
-            }
-            // An accusation at an older incarnation comes from a member that missed the refutation, whose
-            // gossip may have run out: it is said again, or that member holds this one dead for ever.
-            if (u.incarnation() >= incarnation) {
-                incarnation = Math.min(u.incarnation() + 1, 0xFFFF_FFFFL);
-                table.set(self, MemberState.ALIVE, incarnation);
-            }
-            broadcasts.add(new Update(self, MemberState.ALIVE, incarnation, self));
+            accused(u);
             return;
         }
         MemberState held = table.state(member);
@@ -297,7 +243,6 @@
             broadcasts.add(u);
             if (held != u.state()) {
                 events.changed(member, held, u.state(), u.incarnation());
-                presence.add(new long[] {nowUs, table.present()});
             }
         } else if (u.state() == MemberState.SUSPECT && held == MemberState.SUSPECT
                 && u.incarnation() == table.incarnation(member)) {
@@ -308,23 +253,49 @@
         }
     }
 
+    private void accused(Update u) {
+        if (u.state() == MemberState.ALIVE || leaving) {
+            return;
+        }
+        // An accusation at an older incarnation comes from a member that missed the refutation, whose
+        // gossip may have run out: it is said again, or that member holds this one dead for ever.
+        if (u.incarnation() >= incarnation) {
+            incarnation = Math.min(u.incarnation() + 1, 0xFFFF_FFFFL);
+            table.set(self, MemberState.ALIVE, incarnation);
+            health.bad(1);
+        }
+        broadcasts.add(new Update(self, MemberState.ALIVE, incarnation, self));
+    }
+
     /** Sends with gossip; a member held other than alive hears first what it is held, so it can refute. */
-    private void send(int to, Message.Type type, long seq, int target) {
+    private void send(int to, Message.Type type, long sequence, int target) {
         List<Update> updates = new ArrayList<>(PeerCodec.MOST_UPDATES);
-        if (table.state(to) != MemberState.ALIVE) {
+        boolean told = table.state(to) != MemberState.ALIVE;
+        if (told) {
             updates.add(new Update(to, table.state(to), table.incarnation(to), self));
         }
-        int room = PeerCodec.MOST_UPDATES - updates.size();
-        for (Update u : broadcasts.take(room, settings.retransmits(size))) {
-            if (u.member() != to || updates.isEmpty()) {
-                updates.add(u);
-            }
+        updates.addAll(broadcasts.take(PeerCodec.MOST_UPDATES - updates.size(),
+                settings.retransmits(size), told ? to : -1));
+        if (type == Message.Type.PING) {
+            sync(updates);
         }
-        out.add(new Outgoing(to, PeerCodec.encode(new Message(type, self, seq, target, updates))));
+        out.add(new Outgoing(to, PeerCodec.encode(new Message(type, self, sequence, target, updates))));
     }
 
-    private long nextSequence() {
-        sequence = (sequence + 1) & 0xFFFF_FFFFL;
-        return sequence;
+    /**
+     * Adds a few rows of the table in turn (anti-entropy, in place of memberlist's push-pull over TCP): what
+     * a member missed while its gossip lasted, or before it started, comes to it in the end.
+     */
+    private void sync(List<Update> updates) {
+        int most = Math.min(settings.syncRows(), PeerCodec.MOST_UPDATES - updates.size());
+        for (int tries = 0; tries < size && most > 0; tries++) {
+            int id = nextSynced;
+            nextSynced = (nextSynced + 1) % size;
+            // A suspicion counts by who holds it, so it goes as gossip only; 0 stands for never heard of.
+            if (table.state(id) != MemberState.SUSPECT && table.incarnation(id) > 0) {
+                updates.add(new Update(id, table.state(id), table.incarnation(id), self));
+                most--;
+            }
+        }
     }
 }
--- a/src/main/java/larkworks/fleet/MembershipSettings.java
+++ b/src/main/java/larkworks/fleet/MembershipSettings.java
@@ -11,9 +11,12 @@
  * @param retransmitMult lambda: an update is sent lambda * ceil(log10(n + 1)) times
  * @param deadProbePeriods every so many periods one dead member is pinged, so that a healed partition
  *     converges
+ * @param healthMost Lifeguard's highest local health score; times grow up to {@code healthMost + 1} fold
+ * @param syncRows rows of the table sent along with each ping, in turn
  */
 public record MembershipSettings(long probeIntervalUs, long probeTimeoutUs, int indirectChecks,
-        double suspicionAlpha, double suspicionBeta, int retransmitMult, int deadProbePeriods) {
+        double suspicionAlpha, double suspicionBeta, int retransmitMult, int deadProbePeriods,
+        int healthMost, int syncRows) {
 
     /**
      * Checks the figures.
@@ -28,9 +31,10 @@
             throw new IllegalArgumentException("probe_timeout_ms must be above 0 and below the interval");
         }
         if (indirectChecks < 0 || suspicionAlpha <= 0 || suspicionBeta < 1 || retransmitMult < 1
-                || deadProbePeriods < 1) {
+                || deadProbePeriods < 1 || healthMost < 0 || syncRows < 0) {
             throw new IllegalArgumentException("indirect_checks >= 0, suspicion_alpha > 0, "
-                    + "suspicion_beta >= 1, retransmit_mult >= 1, dead_probe_periods >= 1 are wanted");
+                    + "suspicion_beta >= 1, retransmit_mult >= 1, dead_probe_periods >= 1, health_max >= 0, "
+                    + "sync_rows >= 0 are wanted");
         }
     }
 
@@ -40,7 +44,7 @@
      * the suspicion time (log10 n) and the retransmits (log10(n + 1)); the load a member bears does not.
      */
     public static MembershipSettings defaults() {
-        return new MembershipSettings(500_000, 200_000, 3, 5, 6, 4, 4);
+        return new MembershipSettings(500_000, 200_000, 3, 5, 6, 4, 4, 8, 4);
     }
 
     /** Least suspicion time for {@code n} members. */
--- a/src/main/java/larkworks/fleet/PeerCodec.java
+++ b/src/main/java/larkworks/fleet/PeerCodec.java
@@ -70,7 +70,7 @@
      */
     public static Message decode(byte[] bytes, int length) throws Malformed {
         if (length < HEAD + CHECK || length > MOST_BYTES || length > bytes.length) {
-            throw new Malformed("length " + length);
+            throw new Malformed("length");
         }
         CRC32 crc = new CRC32();
         crc.update(bytes, 0, length - CHECK);
@@ -90,7 +90,7 @@
         int target = Short.toUnsignedInt(in.getShort());
         int count = Byte.toUnsignedInt(in.get());
         if (length != HEAD + UPDATE * count + CHECK) {
-            throw new Malformed("update count " + count + " in " + length + " bytes");
+            throw new Malformed("update count");
         }
         List<Update> updates = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
--- a/src/main/java/larkworks/fleet/Suspicion.java
+++ b/src/main/java/larkworks/fleet/Suspicion.java
@@ -10,7 +10,7 @@
  */
 final class Suspicion {
 
-    private final long startUs;
+    private long startUs;
     private final long minUs;
     private final long maxUs;
     private final int expected;
@@ -33,6 +33,11 @@
         return confirmers.size() <= expected && confirmers.add(member);
     }
 
+    /** Gives the member as much more time, in which this process itself stood still. */
+    void extend(long byUs) {
+        startUs += byUs;
+    }
+
     /** When the member is to be declared dead, on the caller's clock. */
     long deadlineUs() {
         int confirmations = confirmers.size() - 1;
--- a/src/main/java/larkworks/proxy/Admin.java
+++ b/src/main/java/larkworks/proxy/Admin.java
@@ -30,6 +30,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import larkworks.adapter.Json;
 
 /**
@@ -49,13 +50,16 @@
     private final EventLoop loop;
     private final BooleanSupplier ready;
     private final Maintenance maintenance;
+    /** The member table as JSON; null where membership is off. */
+    private final Supplier<String> members;
     /** Connections, the longest silent first. */
     private final Set<Channel> open = new LinkedHashSet<>();
 
-    Admin(EventLoop loop, BooleanSupplier ready, Maintenance maintenance) {
+    Admin(EventLoop loop, BooleanSupplier ready, Maintenance maintenance, Supplier<String> members) {
         this.loop = loop;
         this.ready = ready;
         this.maintenance = maintenance;
+        this.members = members;
     }
 
     ChannelFuture listen(SocketAddress address) {
@@ -85,7 +89,11 @@
         }
     }
 
-    private record Reply(HttpResponseStatus status, String text) { }
+    private record Reply(HttpResponseStatus status, String type, String text) {
+        Reply(HttpResponseStatus status, String text) {
+            this(status, "text/plain", text);
+        }
+    }
 
     private Reply reply(FullHttpRequest call) {
         if (call.decoderResult().isFailure()) {
@@ -93,13 +101,18 @@
         }
         String path = call.uri();
         boolean down = path.equals("/ops/backends/down");
-        if (!down && !path.equals("/ops/backends/up") && !path.equals("/ops/readiness")) {
+        boolean table = path.equals("/ops/members");
+        boolean asks = table || path.equals("/ops/readiness");
+        if (!down && !asks && !path.equals("/ops/backends/up")) {
             return new Reply(HttpResponseStatus.NOT_FOUND, "no such call");
         }
-        boolean asks = path.equals("/ops/readiness");
         if (!call.method().equals(asks ? HttpMethod.GET : HttpMethod.PUT)) {
             return new Reply(HttpResponseStatus.METHOD_NOT_ALLOWED, asks ? "GET only" : "PUT only");
         }
+        if (table) {
+            return members == null ? new Reply(HttpResponseStatus.NOT_FOUND, "membership is off")
+                    : new Reply(HttpResponseStatus.OK, "application/json", members.get());
+        }
         if (asks) {
             return ready.getAsBoolean() ? new Reply(HttpResponseStatus.OK, "ready")
                     : new Reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready");
@@ -127,7 +140,7 @@
     private static FullHttpResponse response(Reply reply) {
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, reply.status(),
                 Unpooled.copiedBuffer(reply.text() + "\n", StandardCharsets.UTF_8));
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain")
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.type())
                 .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
                 .set(HttpHeaderNames.CONNECTION, "close");
         return response;
--- a/src/main/java/larkworks/proxy/Config.java
+++ b/src/main/java/larkworks/proxy/Config.java
@@ -10,6 +10,7 @@
 import larkworks.adapter.Json;
 import larkworks.adapter.SettingsReader;
 import larkworks.adapter.WireException;
+import larkworks.fleet.FleetConfig;
 
 /**
  * What a proxy is told at its start.
@@ -26,10 +27,11 @@
  * @param known the list of backends as last held, perhaps old; null where there is none
  * @param admin where the operators' calls come; null where there is no such address
  * @param state the folder that outlives this process; null where none is named
+ * @param fleet the other proxies of the tier; null where membership is off
  */
 record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         Settings settings, List<String> zones, long connectTimeoutUs, long keepAliveUs, boolean loadReports,
-        Listing known, InetSocketAddress admin, Path state) {
+        Listing known, InetSocketAddress admin, Path state, FleetConfig fleet) {
 
     /** A configuration that can't be used; the message is for the operator. */
     static final class ConfigException extends Exception {
@@ -74,7 +76,7 @@
                 params.get("loadInfo") instanceof Map<?, ?> info && !"none".equals(info.get("how")),
                 top.get("known") == null ? null : Listing.of(object(top, "known"), zones),
                 admin(top.get("admin_addr"), environment.getOrDefault("GW_ADMIN_ADDR", "")),
-                state.isBlank() ? null : Path.of(state));
+                state.isBlank() ? null : Path.of(state), FleetConfig.ofProxy(top));
     }
 
     /** Where the operators' calls come; the environment's word goes before that of the file. */
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -14,6 +14,9 @@
 import java.util.concurrent.TimeUnit;
 import larkworks.Balancer.ListKind;
 import larkworks.Balancer.RequestClass;
+import larkworks.fleet.FleetMember;
+import larkworks.fleet.MemberState;
+import larkworks.fleet.Membership;
 import larkworks.proxy.Config.ConfigException;
 
 /** One proxy: its parts and its life from start to SIGTERM. */
@@ -43,6 +46,8 @@
     /** Null where there is no second address. */
     private Maintenance maintenance;
     private Channel admin;
+    /** Null where membership is off. */
+    private final FleetMember member;
     private final Promise<InetSocketAddress> serving = loop.newPromise();
 
     Main(Config config) {
@@ -52,6 +57,8 @@
         driver = new Driver(config, new Clock(), loop, pool);
         frontend = new Frontend(config, loop, sockets, driver);
         discovery = new Discovery(config, loop, sockets, driver);
+        member = config.fleet() == null ? null
+                : new FleetMember(loop, config.fleet(), new MemberLog(), Main::say);
         sockets.evictors(frontend::evictStranger, pool::evict, frontend::evict);
     }
 
@@ -65,7 +72,7 @@
             Runtime.getRuntime().addShutdownHook(new Thread(main::finish));
             main.awaitServing();
         } catch (ConfigException e) {
-            System.err.println("larkworks: " + e.getMessage());
+            say(e.getMessage());
             System.exit(2);
         }
     }
@@ -84,9 +91,13 @@
                 maintenance.start();
             }
             discovery.start();
+            if (member != null) {
+                member.start();
+            }
         }).sync();
         if (shared) {
-            admin = await(new Admin(loop, frontend::serves, maintenance).listen(config.admin()),
+            admin = await(new Admin(loop, frontend::serves, maintenance,
+                    member == null ? null : member::table).listen(config.admin()),
                     config.admin());
         }
         // Warming up at the shared address would reach the other process, and backends through it.
@@ -104,6 +115,29 @@
         }));
     }
 
+    private static void say(String text) {
+        System.err.println("larkworks: " + text);
+    }
+
+    /** What membership tells the operator: each change of the view, and whether it is to be trusted. */
+    private static final class MemberLog implements Membership.Events {
+        @Override
+        public void changed(int about, MemberState from, MemberState to, long incarnation) {
+            say("members: " + about + " " + FleetMember.name(from) + " -> " + FleetMember.name(to)
+                    + " at incarnation " + incarnation);
+        }
+
+        @Override
+        public void dropped(String why) {
+            // Counted in the table; a line for each would hand the log to whoever floods the address.
+        }
+
+        @Override
+        public void minority(boolean now) {
+            say(now ? "members: in a minority, this view is stale" : "members: out of the minority");
+        }
+    }
+
     private Maintenance maintenance() throws ConfigException {
         try {
             return new Maintenance(config, loop, driver, sockets);
@@ -149,7 +183,7 @@
             InetSocketAddress named = Config.read(file, System.getenv()).discovery();
             loop.execute(() -> discovery.moveTo(named));
         } catch (ConfigException e) {
-            System.err.println("larkworks: the old configuration is kept: " + e.getMessage());
+            say("the old configuration is kept: " + e.getMessage());
         }
     }
 
@@ -172,6 +206,9 @@
     private void finish() {
         loop.execute(() -> {
             frontend.drain();
+            if (member != null) {
+                member.leave();
+            }
             loop.schedule(() -> {
                 frontend.stopListening();
                 endWhenIdle();
@@ -181,7 +218,7 @@
                 .orElse(0);
         try {
             if (!finished.await(longestUs / 1000 + FINISH_MS, TimeUnit.MILLISECONDS)) {
-                System.err.println("larkworks: stopped with requests in flight");
+                say("stopped with requests in flight");
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -200,6 +237,9 @@
     /** Ends the proxy at once. */
     void close() {
         loop.execute(discovery::close);
+        if (member != null) {
+            loop.execute(member::leave);
+        }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
         try {
             if (maintenance != null) {
--- a/src/test/java/larkworks/fleet/Fleet.java
+++ b/src/test/java/larkworks/fleet/Fleet.java
@@ -46,7 +46,7 @@
         for (int i = 0; i < n; i++) {
             Path config = folder.resolve("member" + i + ".json");
             Files.writeString(config, "{\"peer_listen\":\"" + text(backs.get(i)) + "\",\"peers\":[" + peers
-                    + "],\"member\":" + i + ",\"membership\":" + membership + "}");
+                    + "],\"peers_all\":\"" + text(relay.everyone()) + "\",\"member\":" + i + ",\"membership\":" + membership + "}");
             configs.add(config);
             processes.add(null);
             views.add(new ConcurrentHashMap<>());
@@ -110,6 +110,12 @@
         return lines.stream().filter(l -> "started".equals(l.get("message"))).count();
     }
 
+    /** Waits until the members have sent so many datagrams more: a stretch of time that they all lived. */
+    boolean exchange(int more) throws InterruptedException {
+        long goal = relay.datagrams.get() + more;
+        return await(60_000, () -> relay.datagrams.get() >= goal);
+    }
+
     void kill(int i) throws InterruptedException {
         processes.get(i).destroyForcibly().waitFor();
     }
--- a/src/test/java/larkworks/fleet/MembershipTest.java
+++ b/src/test/java/larkworks/fleet/MembershipTest.java
@@ -104,8 +104,8 @@
         Broadcasts b = new Broadcasts();
         b.add(new Update(1, MemberState.SUSPECT, 4, 0));
         b.add(new Update(1, MemberState.DEAD, 4, 0));
-        assertEquals(List.of(new Update(1, MemberState.DEAD, 4, 0)), b.take(5, 2));
-        assertEquals(1, b.take(5, 2).size());
+        assertEquals(List.of(new Update(1, MemberState.DEAD, 4, 0)), b.take(5, 2, -1));
+        assertEquals(1, b.take(5, 2, -1).size());
         assertEquals(0, b.size());
     }
 }
--- a/src/test/java/larkworks/fleet/UdpRelay.java
+++ b/src/test/java/larkworks/fleet/UdpRelay.java
@@ -26,13 +26,15 @@
     private final List<InetSocketAddress> backs;
     private final Map<InetSocketAddress, Integer> senders = new HashMap<>();
     private final ScheduledExecutorService later = Executors.newSingleThreadScheduledExecutor();
-    private final List<Thread> threads = new ArrayList<>();
     private final Random random = new Random(7);
     private volatile double loss;
     private volatile double duplicates;
     private volatile int delayMs;
     private volatile int jitterMs;
     private volatile int[] group;
+    /** What the first of the pair sends, the second does not get; null for none. */
+    private volatile int[] deaf;
+    private final DatagramSocket everyone;
     /** Datagrams and bytes that members sent, before any fault. */
     final java.util.concurrent.atomic.AtomicLong datagrams = new java.util.concurrent.atomic.AtomicLong();
     final java.util.concurrent.atomic.AtomicLong bytes = new java.util.concurrent.atomic.AtomicLong();
@@ -41,23 +43,37 @@
     UdpRelay(List<InetSocketAddress> backs) throws SocketException {
         this.backs = List.copyOf(backs);
         group = new int[backs.size()];
+        everyone = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         for (int i = 0; i < backs.size(); i++) {
             fronts.add(new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
             senders.put(backs.get(i), i);
         }
         for (int i = 0; i < backs.size(); i++) {
-            int to = i;
-            Thread t = new Thread(() -> carry(to), "relay-" + i);
-            t.setDaemon(true);
-            t.start();
-            threads.add(t);
+            carrying(fronts.get(i), i, i);
         }
+        carrying(everyone, 0, backs.size() - 1);
+    }
+
+    private void carrying(DatagramSocket socket, int first, int last) {
+        Thread t = new Thread(() -> carry(socket, first, last), "relay-" + first);
+        t.setDaemon(true);
+        t.start();
+    }
+
+    /** What {@code peers_all} names: a datagram to it goes to every member, its sender included. */
+    InetSocketAddress everyone() {
+        return (InetSocketAddress) everyone.getLocalSocketAddress();
     }
 
     InetSocketAddress front(int member) {
         return (InetSocketAddress) fronts.get(member).getLocalSocketAddress();
     }
 
+    /** Where a member really listens. */
+    InetSocketAddress back(int member) {
+        return backs.get(member);
+    }
+
     void loss(double share) {
         loss = share;
     }
@@ -76,13 +92,18 @@
         group = groups.clone();
     }
 
+    /** From now on {@code to} does not hear {@code from}, which still hears it. */
+    void deafen(int from, int to) {
+        deaf = new int[] {from, to};
+    }
+
     void heal() {
+        deaf = null;
         group = new int[backs.size()];
     }
 
-    private void carry(int to) {
+    private void carry(DatagramSocket socket, int first, int last) {
         byte[] buffer = new byte[2048];
-        DatagramSocket socket = fronts.get(to);
         while (!socket.isClosed()) {
             DatagramPacket p = new DatagramPacket(buffer, buffer.length);
             try {
@@ -93,22 +114,24 @@
             datagrams.incrementAndGet();
             bytes.addAndGet(p.getLength());
             Integer from = senders.get((InetSocketAddress) p.getSocketAddress());
-            if (from == null || group[from] != group[to]) {
-                continue;
-            }
-            byte[] bytes = java.util.Arrays.copyOf(p.getData(), p.getLength());
-            int copies;
-            synchronized (random) {
-                copies = random.nextDouble() < loss ? 0 : random.nextDouble() < duplicates ? 2 : 1;
+            byte[] copy = java.util.Arrays.copyOf(p.getData(), p.getLength());
+            for (int to = first; from != null && to <= last; to++) {
+                pass(from, to, copy);
             }
+        }
+    }
+
+    private void pass(int from, int to, byte[] datagram) {
+        int[] cut = deaf;
+        if (group[from] != group[to] || cut != null && cut[0] == from && cut[1] == to) {
+            return;
+        }
+        synchronized (random) {
+            int copies = random.nextDouble() < loss ? 0 : random.nextDouble() < duplicates ? 2 : 1;
             for (int c = 0; c < copies; c++) {
-                int wait;
-                synchronized (random) {
-                    wait = delayMs + (jitterMs > 0 ? random.nextInt(jitterMs) : 0);
-                }
-                DatagramSocket out = fronts.get(from);
-                InetSocketAddress back = backs.get(to);
-                later.schedule(() -> send(out, bytes, back), wait, TimeUnit.MILLISECONDS);
+                int wait = delayMs + (jitterMs > 0 ? random.nextInt(jitterMs) : 0);
+                later.schedule(() -> send(fronts.get(from), datagram, backs.get(to)), wait,
+                        TimeUnit.MILLISECONDS);
             }
         }
     }
@@ -124,6 +147,7 @@
     @Override
     public void close() {
         fronts.forEach(DatagramSocket::close);
+        everyone.close();
         later.shutdownNow();
     }
 }
--- /dev/null
+++ b/src/test/java/larkworks/proxy/ProxyMembersTest.java
@@ -0,0 +1,83 @@
+package larkworks.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import larkworks.adapter.Json;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Membership inside real proxy processes, read at their second addresses. */
+@Timeout(120)
+class ProxyMembersTest {
+
+    @TempDir
+    Path folder;
+
+    private final List<Integer> admins = new ArrayList<>();
+
+    /** What a process holds of a member; a process that does not answer yet holds nothing. */
+    private String held(int by, int about) {
+        try (var in = URI.create("http://" + Bench.HOST + ":" + admins.get(by) + "/ops/members").toURL()
+                .openStream()) {
+            Map<?, ?> table = Json.object(in.readAllBytes());
+            assertEquals(by, table.get("self"));
+            return String.valueOf(((Map<?, ?>) ((List<?>) table.get("members")).get(about)).get("state"));
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
+    @Test
+    void proxiesSeeEachOtherLeaveAndDie() throws Exception {
+        List<String> peers = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            try (DatagramSocket free = new DatagramSocket(0, InetAddress.getByName(Bench.HOST))) {
+                peers.add('"' + Bench.HOST + ":" + free.getLocalPort() + '"');
+            }
+        }
+        List<Process> processes = new ArrayList<>();
+        try (Bench bench = new Bench(1)) {
+            for (int i = 0; i < 4; i++) {
+                bench.more = "\"peer_listen\":" + peers.get(i) + ",\"peers\":" + peers
+                        + ",\"membership\":{\"probe_interval_ms\":200,\"probe_timeout_ms\":80},";
+                Path file = Files.writeString(folder.resolve(i + ".json"),
+                        bench.config(Bench.freePort(), bench.all(1)));
+                admins.add(Bench.freePort());
+                ProcessBuilder builder = new ProcessBuilder("java", "-XX:+UseSerialGC", "-Xmx40m", "-cp",
+                        System.getProperty("java.class.path"), "larkworks.proxy.Main")
+                        .redirectError(folder.resolve(i + ".log").toFile());
+                builder.environment().putAll(Map.of("GW_CONFIG", file.toString(), "GW_ADMIN_ADDR",
+                        Bench.HOST + ":" + admins.get(i), "TMPDIR", folder.toString()));
+                processes.add(builder.start());
+            }
+            await(() -> List.of(0, 1, 2, 3).stream().allMatch(i -> held(i, 3).equals("alive")));
+            processes.get(3).destroy();
+            await(() -> List.of(0, 1, 2).stream().allMatch(i -> held(i, 3).equals("left")));
+            processes.get(2).destroyForcibly();
+            await(() -> held(0, 2).equals("dead") && held(1, 2).equals("dead"));
+            assertTrue(Files.readString(folder.resolve("0.log")).contains("members: 3 alive -> left"));
+        } finally {
+            processes.forEach(Process::destroyForcibly);
+        }
+    }
+
+    private static void await(java.util.function.BooleanSupplier condition) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < until, "not in time");
+            Thread.sleep(50);
+        }
+    }
+}
