--- /dev/null
+++ b/src/main/java/larkworks/cli/Larkworks.java
@@ -0,0 +1,63 @@
+package larkworks.cli;
+
+import larkworks.platform.Logs;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.ExitCode;
+import picocli.CommandLine.HelpCommand;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/**
+ * {@code larkworks}: every part of the program starts here. Exit codes: 0 done, 1 a failure at run time, 2 a
+ * bad call or configuration; a message for the user is one line on standard error, never a stack trace.
+ */
+@Command(name = "larkworks", mixinStandardHelpOptions = true, versionProvider = Version.class,
+        description = "A load-balancing proxy for services that call services, and what its fleet needs.",
+        subcommands = {ProxyCommand.class, AdapterCommand.class, RegistryCommand.class, MemberCommand.class,
+            MembersCommand.class, HelpCommand.class})
+public final class Larkworks implements Runnable {
+
+    @Spec
+    private CommandSpec spec;
+
+    /** Runs the command named by the arguments and exits with its status. */
+    public static void main(String[] args) {
+        Logs.quietNetty();
+        int status = commandLine().execute(args);
+        // A service goes on in its own threads after 0.
+        if (status != ExitCode.OK) {
+            System.exit(status);
+        }
+    }
+
+    /** The command line, its errors told in one line. */
+    public static CommandLine commandLine() {
+        return new CommandLine(new Larkworks())
+                .setParameterExceptionHandler((e, args) -> {
+                    CommandLine command = e.getCommandLine();
+                    command.getErr().println("larkworks: " + e.getMessage().lines().findFirst().orElse("")
+                            + " (see '" + command.getCommandSpec().qualifiedName() + " --help')");
+                    return ExitCode.USAGE;
+                })
+                .setExecutionExceptionHandler((e, command, parsed) -> {
+                    command.getErr().println("larkworks: " + (e.getMessage() == null ? e : e.getMessage()));
+                    return e instanceof BadConfiguration ? ExitCode.USAGE : ExitCode.SOFTWARE;
+                });
+    }
+
+    /** A configuration that can't be used; the message names file, key and what was wanted. */
+    static final class BadConfiguration extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        BadConfiguration(String message) {
+            super(message);
+        }
+    }
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "a command is wanted");
+    }
+}
--- /dev/null
+++ b/src/main/java/larkworks/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The program's one command line. */
+package larkworks.cli;
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -62,18 +62,23 @@
         sockets.evictors(frontend::evictStranger, pool::evict, frontend::evict);
     }
 
-    /** Runs the proxy that {@code GW_CONFIG} describes. */
-    public static void main(String[] args) throws InterruptedException {
+    /**
+     * Runs the proxy that a file describes; what {@code GW_ADMIN_ADDR} says goes before the file.
+     *
+     * @param file the configuration's name, null where none was given
+     * @return the exit status: 0 where it serves from now on, 2 where the configuration can't be used
+     */
+    public static int run(String file) throws InterruptedException {
         try {
-            String file = System.getenv("GW_CONFIG");
             Main main = new Main(Config.read(file, System.getenv()));
             HangUp.handle(() -> main.reload(file));
             main.start();
             Runtime.getRuntime().addShutdownHook(new Thread(main::finish));
             main.awaitServing();
+            return 0;
         } catch (ConfigException e) {
             say(e.getMessage());
-            System.exit(2);
+            return 2;
         }
     }
 
--- a/src/main/java/larkworks/proxy/Training.java
+++ b/src/main/java/larkworks/proxy/Training.java
@@ -13,6 +13,8 @@
 import java.util.Comparator;
 import java.util.Locale;
 import java.util.Map;
+import larkworks.cli.Larkworks;
+import larkworks.platform.Logs;
 
 /**
  * A part of the build: starts a proxy, which warms itself up, has small and large bodies passed on to a
@@ -29,6 +31,8 @@
 
     /** Trains with the configuration in the named file. */
     public static void main(String[] args) throws Exception {
+        Logs.quietNetty();
+        Larkworks.commandLine().parseArgs("proxy", "--config", "unread");
         Path folder = Files.createTempDirectory("training");
         try (ServerSocket backend = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
             serve(backend);
--- /dev/null
+++ b/src/main/java/larkworks/registry/ListService.java
@@ -0,0 +1,223 @@
+package larkworks.registry;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The service on its event loop: grants writes, has them stored, publishes what is on disk to the watches
+ * that wait, and ends leases. Everything here runs on that loop.
+ */
+final class ListService implements Store.Owner {
+
+    private static final Logger LOG = LoggerFactory.getLogger("registry");
+    /** How often leases are looked at, and how soon an end that could not be stored is tried again. */
+    private static final long LEASE_LOOK_MS = 100;
+    private static final long LEASE_AGAIN_MS = 1_000;
+
+    /** A call held until the list changes or its time has passed. */
+    final class Watch {
+        private final long from;
+        private final Consumer<ByteBuf> answer;
+        private ScheduledFuture<?> end;
+
+        private Watch(long from, Consumer<ByteBuf> answer) {
+            this.from = from;
+            this.answer = answer;
+        }
+
+        /** The caller is gone. */
+        void cancel() {
+            if (watches.remove(this)) {
+                end.cancel(false);
+            }
+        }
+
+        private void finish(ByteBuf body) {
+            end.cancel(false);
+            answer.accept(body);
+        }
+    }
+
+    private final EventLoop loop;
+    private final Store store;
+    private final Catalog catalog;
+    private final Registrar registrar;
+    private final Leases leases = new Leases();
+    private Set<Watch> watches = new LinkedHashSet<>();
+    private ScheduledFuture<?> looking;
+    private long era;
+
+    ListService(EventLoop loop, Store store) {
+        this.loop = loop;
+        this.store = store;
+        catalog = store.catalog();
+        registrar = new Registrar(catalog);
+    }
+
+    /** Begins; every lease has its full time, as heartbeats could not come while the service was down. */
+    void start() {
+        store.start(loop, this);
+        long now = nowMs();
+        catalog.live().forEach(instance -> leases.renew(instance, now));
+        looking = loop.scheduleAtFixedRate(this::endLeases, LEASE_LOOK_MS, LEASE_LOOK_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** Ends; watches are answered with what is known, as if their time had passed. */
+    void stop() {
+        looking.cancel(false);
+        Set<Watch> held = watches;
+        watches = new LinkedHashSet<>();
+        held.forEach(watch -> watch.finish(since(watch.from)));
+    }
+
+    private static long nowMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /** A write that is granted; see {@link Registrar}. */
+    interface Grant {
+        Change grant(Registrar registrar) throws Refusal;
+    }
+
+    /**
+     * Makes a write; {@code done} is called once all it rests on is on disk (null), or could not be written.
+     *
+     * @throws Refusal where it is not granted
+     */
+    void write(Grant call, Consumer<IOException> done) throws Refusal {
+        Change change = call.grant(registrar);
+        store.submit(new Store.Ticket(change, done, era));
+    }
+
+    /** Takes a heartbeat; the usual one needs no disk. */
+    void heartbeat(String name, Consumer<IOException> done) throws Refusal {
+        Change change = registrar.heartbeat(name);
+        Instance held = catalog.get(name);
+        if (held != null) {
+            leases.renew(held, nowMs());
+        }
+        if (change == null) {
+            done.accept(null);
+        } else {
+            store.submit(new Store.Ticket(change, done, era));
+        }
+    }
+
+    long index() {
+        return catalog.index();
+    }
+
+    String epoch() {
+        return store.identity();
+    }
+
+    /** The whole list. */
+    ByteBuf whole() {
+        return Unpooled.wrappedBuffer(Words.listing(catalog.index(), true, catalog.live()));
+    }
+
+    /** What changed since that version, or the whole list where that is no longer known. */
+    ByteBuf since(long from) {
+        return catalog.knows(from)
+                ? Unpooled.wrappedBuffer(Words.listing(catalog.index(), false, catalog.since(from))) : whole();
+    }
+
+    /** Holds a call until there is something newer than {@code from}, for {@code waitMs} at most. */
+    Watch watch(long from, long waitMs, Consumer<ByteBuf> answer) {
+        Watch watch = new Watch(from, answer);
+        watches.add(watch);
+        watch.end = loop.schedule(() -> {
+            watches.remove(watch);
+            watch.answer.accept(since(from));
+        }, waitMs, TimeUnit.MILLISECONDS);
+        return watch;
+    }
+
+    /** Figures for the operator. */
+    Map<String, Object> figures() {
+        Map<String, Object> figures = new LinkedHashMap<>();
+        figures.put("index", catalog.index());
+        figures.put("compacted", catalog.compacted());
+        figures.put("epoch", store.identity());
+        figures.put("instances", catalog.size());
+        figures.put("leases", leases.size());
+        figures.put("watches", watches.size());
+        figures.put("log_bytes", store.logBytes());
+        figures.put("fsyncs", store.syncs());
+        figures.put("writable", !store.isBroken());
+        return figures;
+    }
+
+    @Override
+    public void durable(List<Store.Ticket> tickets) {
+        boolean changed = false;
+        long now = nowMs();
+        for (Store.Ticket ticket : tickets) {
+            if (ticket.change() != null) {
+                changed = true;
+                catalog.apply(ticket.change());
+                registrar.published(ticket.change());
+                leases.renew(ticket.change().instance(), now);
+            }
+        }
+        if (changed) {
+            publish();
+        }
+        tickets.forEach(ticket -> ticket.answer().accept(null));
+        if (store.snapshotDue()) {
+            store.save(catalog.image());
+        }
+    }
+
+    /** All watches wait for something newer than they have, so each change answers all of them. */
+    private void publish() {
+        Set<Watch> held = watches;
+        watches = new LinkedHashSet<>();
+        Map<Long, ByteBuf> bodies = new HashMap<>();
+        for (Watch watch : held) {
+            ByteBuf body = bodies.computeIfAbsent(watch.from, this::since);
+            watch.finish(body.retainedDuplicate());
+        }
+        bodies.values().forEach(ByteBuf::release);
+    }
+
+    @Override
+    public void failed(List<Store.Ticket> tickets, IOException why, long now) {
+        if (now > era) {
+            era = now;
+            registrar.failed();
+            LOG.atError().addKeyValue("why", why.getMessage()).addKeyValue("calls", tickets.size())
+                    .addKeyValue("writable", !store.isBroken()).log("changes could not be stored");
+        }
+        tickets.forEach(ticket -> ticket.answer().accept(why));
+    }
+
+    private void endLeases() {
+        long now = nowMs();
+        for (String name : leases.due(now, now + LEASE_AGAIN_MS)) {
+            if (store.isBroken()) {
+                return;
+            }
+            Change change = registrar.expire(name);
+            if (change != null) {
+                LOG.atInfo().addKeyValue("instance", name)
+                        .addKeyValue("status", change.instance().status().wire()).log("lease ended");
+                store.submit(new Store.Ticket(change, failure -> { }, era));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/larkworks/registry/RegistryServer.java
@@ -0,0 +1,294 @@
+package larkworks.registry;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+
+/**
+ * The service's HTTP/1.1 side. Reads are PROTOCOL's "Discovery": {@code GET /registry/instances}, with
+ * {@code index} and {@code wait} a watch. Writes, each answered {@code {"index": N}} once it is on disk:
+ *
+ * <pre>
+ * PUT    /registry/v1/instances/NAME            {"address", "zone", "type", "group", "weight", "since_ms", "ttl_ms"}
+ * PUT    /registry/v1/instances/NAME/status     {"status": "in_service" | "terminating" | "terminated"}
+ * PUT    /registry/v1/instances/NAME/heartbeat
+ * DELETE /registry/v1/instances/NAME
+ * GET    /registry/v1/status
+ * </pre>
+ *
+ * Errors are {@code {"error": why}}: 400 a bad call, 404 no such instance or path, 405, 409 a name or address
+ * that is taken, 413, 503 no writes until a restart, 507 not kept, try again.
+ */
+final class RegistryServer {
+
+    static final String LIST = "/registry/instances";
+    private static final String API = "/registry/v1/instances/";
+    private static final String STATUS = "/registry/v1/status";
+    /** PROTOCOL: a watch waits 60 s at most. */
+    private static final long MOST_WAIT_MS = 60_000;
+    private static final int MOST_BODY = 16 << 10;
+    /** Calls read ahead on one connection; who sends more has no use for the answers. */
+    private static final int MOST_AHEAD = 16;
+    /** A connection without a call for so long is closed. */
+    private static final int IDLE_S = 90;
+    private static final int BACKLOG = 1_024;
+
+    private final EventLoop loop;
+    private final ListService service;
+    private final ChannelGroup open;
+    private Channel listener;
+
+    RegistryServer(EventLoop loop, ListService service) {
+        this.loop = loop;
+        this.service = service;
+        open = new DefaultChannelGroup(loop);
+    }
+
+    ChannelFuture listen(InetSocketAddress address) {
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        open.add(channel);
+                        channel.pipeline().addLast(new IdleStateHandler(0, 0, IDLE_S), new HttpServerCodec(),
+                                new HttpObjectAggregator(MOST_BODY), new Connection());
+                    }
+                }).bind(address);
+        listener = bound.channel();
+        return bound;
+    }
+
+    /** Ends: no new connections, then the ones there are. */
+    void close() {
+        listener.close().syncUninterruptibly();
+        open.close().syncUninterruptibly();
+    }
+
+    /** One caller: its calls are answered one after the other, in their order. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+        private final Queue<FullHttpRequest> ahead = new ArrayDeque<>();
+        private ListService.Watch watch;
+        private boolean answering;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest call) {
+            if (ahead.size() >= MOST_AHEAD) {
+                context.close();
+            } else if (answering) {
+                ahead.add(call.retain());
+            } else {
+                take(context, call);
+            }
+        }
+
+        private void take(ChannelHandlerContext context, FullHttpRequest call) {
+            answering = true;
+            boolean keep = HttpUtil.isKeepAlive(call);
+            try {
+                if (call.decoderResult().isFailure()) {
+                    keep = false;
+                    throw new Refusal(400, "no HTTP/1.1 call");
+                }
+                route(context, call, keep);
+            } catch (Refusal e) {
+                answer(context, e.status(), error(e.getMessage()), keep);
+            }
+        }
+
+        private void route(ChannelHandlerContext context, FullHttpRequest call, boolean keep)
+                throws Refusal {
+            QueryStringDecoder uri = decoded(call.uri());
+            String path = uri.path();
+            if (path.equals(LIST)) {
+                want(call, HttpMethod.GET);
+                read(context, uri.parameters(), keep);
+            } else if (path.equals(STATUS)) {
+                want(call, HttpMethod.GET);
+                answer(context, 200, Unpooled.wrappedBuffer(Words.bytes(service.figures())), keep);
+            } else if (path.startsWith(API)) {
+                write(context, call, path.substring(API.length()).split("/", -1), keep);
+            } else {
+                throw new Refusal(404, "no such path");
+            }
+        }
+
+        private void read(ChannelHandlerContext context, Map<String, List<String>> query, boolean keep)
+                throws Refusal {
+            long from = number(query, "index", -1);
+            long wait = Math.min(number(query, "wait", 0), MOST_WAIT_MS);
+            if (from < 0) {
+                answer(context, 200, service.whole(), keep);
+            } else if (from > service.index()) {
+                throw new Refusal(400, "index " + from + " is newer than " + service.index());
+            } else if (from < service.index() || wait == 0) {
+                answer(context, 200, service.since(from), keep);
+            } else {
+                watch = service.watch(from, wait, body -> {
+                    watch = null;
+                    answer(context, 200, body, keep);
+                });
+            }
+        }
+
+        private void write(ChannelHandlerContext context, FullHttpRequest call, String[] path, boolean keep)
+                throws Refusal {
+            String name = path[0];
+            byte[] body = ByteBufUtil.getBytes(call.content());
+            if (path.length == 1 && call.method().equals(HttpMethod.DELETE)) {
+                service.write(r -> r.setStatus(name, Status.TERMINATED), done(context, keep));
+            } else if (path.length == 1) {
+                want(call, HttpMethod.PUT);
+                Registration asked = Words.body(body, Registration.class);
+                service.write(r -> r.register(name, asked), done(context, keep));
+            } else if (path.length == 2 && path[1].equals("status")) {
+                want(call, HttpMethod.PUT);
+                StatusCall asked = Words.body(body, StatusCall.class);
+                service.write(r -> r.setStatus(name, asked.status()), done(context, keep));
+            } else if (path.length == 2 && path[1].equals("heartbeat")) {
+                want(call, HttpMethod.PUT);
+                service.heartbeat(name, done(context, keep));
+            } else {
+                throw new Refusal(404, "no such path");
+            }
+        }
+
+        private java.util.function.Consumer<IOException> done(ChannelHandlerContext context, boolean keep) {
+            return failure -> {
+                if (failure == null) {
+                    answer(context, 200, Unpooled.wrappedBuffer(
+                            Words.bytes(Map.of("index", service.index()))), keep);
+                } else {
+                    answer(context, failure instanceof Wal.Broken ? 503 : 507,
+                            error("not stored: " + failure.getMessage()), keep);
+                }
+            };
+        }
+
+        private void answer(ChannelHandlerContext context, int status, ByteBuf body, boolean keep) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(status), body);
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+                    .setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+                    .set(EPOCH, service.epoch());
+            if (!keep) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            ChannelFuture written = context.writeAndFlush(response);
+            if (!keep) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+            answering = false;
+            FullHttpRequest next = ahead.poll();
+            if (next != null) {
+                // Not from here: a row of calls would be as many calls deep.
+                loop.execute(() -> {
+                    try {
+                        take(context, next);
+                    } finally {
+                        next.release();
+                    }
+                });
+                answering = true;
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (watch != null) {
+                watch.cancel();
+                watch = null;
+            }
+            ahead.forEach(FullHttpRequest::release);
+            ahead.clear();
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+            if (event instanceof IdleStateEvent && !answering) {
+                context.close();
+            } else {
+                super.userEventTriggered(context, event);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            // A reset, or bytes that are no call: whoever sent them expects no more.
+            context.close();
+        }
+    }
+
+    /** The body of a call about a status. */
+    private record StatusCall(Status status) { }
+
+    /** Which data the service holds: a client must not apply changes to a list of another. */
+    static final String EPOCH = "X-Registry-Epoch";
+
+    private static ByteBuf error(String why) {
+        return Unpooled.wrappedBuffer(Words.bytes(Map.of("error", why)));
+    }
+
+    private static void want(FullHttpRequest call, HttpMethod method) throws Refusal {
+        if (!call.method().equals(method)) {
+            throw new Refusal(405, method + " is wanted");
+        }
+    }
+
+    private static QueryStringDecoder decoded(String uri) throws Refusal {
+        try {
+            QueryStringDecoder decoder = new QueryStringDecoder(uri);
+            decoder.parameters();
+            return decoder;
+        } catch (IllegalArgumentException e) {
+            throw new Refusal(400, "the path can't be read");
+        }
+    }
+
+    private static long number(Map<String, List<String>> query, String key, long fallback) throws Refusal {
+        List<String> given = query.get(key);
+        if (given == null) {
+            return fallback;
+        }
+        if (given.size() != 1 || !given.get(0).matches("[0-9]{1,18}")) {
+            throw new Refusal(400, key + ": one whole number is wanted, not " + given);
+        }
+        return Long.parseLong(given.get(0));
+    }
+}
--- a/src/test/java/larkworks/adapter/WireTest.java
+++ b/src/test/java/larkworks/adapter/WireTest.java
@@ -38,10 +38,10 @@
         return "{\"atTimeUs\":" + now + ",\"groups\":[{\"who\":" + who + ",\"input\":[" + events + "]}]}\n";
     }
 
-    private static Ran run(String input, String... args) {
+    private static Ran run(String input) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream err = new ByteArrayOutputStream();
-        int status = Main.run(args, new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out,
+        int status = Main.run(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out,
                 new PrintStream(err, true, StandardCharsets.UTF_8));
         return new Ran(status, out.toString(StandardCharsets.UTF_8).lines().toList(),
                 err.toString(StandardCharsets.UTF_8));
@@ -49,8 +49,7 @@
 
     @Test
     void answersEachBatchWithOneLine() {
-        Ran ran = run("{\"atTimeUs\":1,\"groups\":[]}\n" + batch(5, 4, START) + batch(6, 4, INBOUND),
-                "adapter");
+        Ran ran = run("{\"atTimeUs\":1,\"groups\":[]}\n" + batch(5, 4, START) + batch(6, 4, INBOUND));
         assertEquals(0, ran.status(), ran.err());
         assertEquals(3, ran.out().size());
         assertEquals("{\"groups\":[]}", ran.out().get(0));
@@ -67,16 +66,14 @@
         String reply = "{\"msg\":\"reply\",\"opId\":\"00ab\",\"leg\":0,\"backend\":\"s:1\","
                 + "\"ending\":\"DEADLINE_EXCEEDED\",\"elapsedUs\":400000,\"last\":false,\"stats\":null}";
         String late = "{\"msg\":\"left\",\"opId\":\"00ab\"}";
-        Ran ran = run(batch(5, 4, START) + batch(6, 4, INBOUND) + batch(400006, 4, reply + "," + late),
-                "adapter");
+        Ran ran = run(batch(5, 4, START) + batch(6, 4, INBOUND) + batch(400006, 4, reply + "," + late));
         assertEquals(0, ran.status(), ran.err());
         assertTrue(ran.out().get(2).contains("{\"msg\":\"abort\",\"opId\":\"00ab\"}"), ran.out().get(2));
     }
 
     @Test
     void forgetsAnInstanceThatWasTornDown() {
-        Ran ran = run(batch(5, 4, START) + batch(6, 4, "{\"msg\":\"teardown\"}") + batch(7, 4, INBOUND),
-                "adapter");
+        Ran ran = run(batch(5, 4, START) + batch(6, 4, "{\"msg\":\"teardown\"}") + batch(7, 4, INBOUND));
         assertEquals(1, ran.status());
         assertEquals("larkworks: line 3: inbound: instance 4 was not started\n", ran.err());
     }
@@ -96,7 +93,7 @@
                 + "\"nonce64\":1}]}]}|params is missing",
     })
     void saysInOneLineWhatIsWrong(String input, String message) {
-        Ran ran = run(input, "adapter");
+        Ran ran = run(input);
         assertEquals(1, ran.status());
         assertTrue(ran.err().contains(message), ran.err());
         assertEquals(1, ran.err().lines().count(), ran.err());
@@ -104,21 +101,13 @@
 
     @Test
     void namesTheMissingFieldOfAMessageAndOfTheSettings() {
-        Ran ran = run(batch(5, 4, START) + batch(6, 4, INBOUND.replace("\"budgetUs\":400000,", "")),
-                "adapter");
+        Ran ran = run(batch(5, 4, START) + batch(6, 4, INBOUND.replace("\"budgetUs\":400000,", "")));
         assertEquals("larkworks: line 2: inbound: field budgetUs is missing\n", ran.err());
-        ran = run(batch(5, 4, START.replace("\"maxAttempts\":3,", "")), "adapter");
+        ran = run(batch(5, 4, START.replace("\"maxAttempts\":3,", "")));
         assertEquals("larkworks: line 1: powerOn: params.limits.maxAttempts is missing\n", ran.err());
-        ran = run(batch(5, 4, START.replace("\"coldFrom\":0.5", "\"coldFrom\":7")), "adapter");
+        ran = run(batch(5, 4, START.replace("\"coldFrom\":0.5", "\"coldFrom\":7")));
         assertEquals("larkworks: line 1: powerOn: rules.coldFrom: must lie above 0, up to 1\n", ran.err());
-        ran = run(batch(5, 4, START) + batch(6, 4, "{\"msg\":\"greeting\"}"), "adapter");
+        ran = run(batch(5, 4, START) + batch(6, 4, "{\"msg\":\"greeting\"}"));
         assertEquals("larkworks: line 2: message 'greeting' is not known\n", ran.err());
     }
-
-    @Test
-    void printsItsUsageWithoutOrWithAWrongArgument() {
-        assertEquals(2, run("").status());
-        assertTrue(run("", "serve").err().startsWith("usage: "));
-        assertEquals(0, run("", "adapter").status());
-    }
 }
--- a/src/test/java/larkworks/fleet/Fleet.java
+++ b/src/test/java/larkworks/fleet/Fleet.java
@@ -62,7 +62,7 @@
     void start(int i) throws IOException {
         Process p = new ProcessBuilder("java", "-XX:+UseSerialGC", "-Xmx32m",
                 "-cp", System.getProperty("java.class.path"),
-                "larkworks.fleet.Agent", configs.get(i).toString())
+                "larkworks.cli.Larkworks", "member", configs.get(i).toString())
                 .redirectError(ProcessBuilder.Redirect.INHERIT).start();
         processes.set(i, p);
         views.set(i, new ConcurrentHashMap<>());  // a new process holds all alive, whatever its old self held
--- a/src/test/java/larkworks/proxy/ProcessTest.java
+++ b/src/test/java/larkworks/proxy/ProcessTest.java
@@ -27,7 +27,7 @@
         Path file = Files.writeString(folder.resolve("config.json"), config);
         ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "larkworks.proxy.Main");
+                System.getProperty("java.class.path"), "larkworks.cli.Larkworks", "proxy");
         builder.environment().put("GW_CONFIG", file.toString());
         return builder.start();
     }
--- a/src/test/java/larkworks/proxy/ProxyMembersTest.java
+++ b/src/test/java/larkworks/proxy/ProxyMembersTest.java
@@ -56,7 +56,7 @@
                         bench.config(Bench.freePort(), bench.all(1)));
                 admins.add(Bench.freePort());
                 ProcessBuilder builder = new ProcessBuilder("java", "-XX:+UseSerialGC", "-Xmx40m", "-cp",
-                        System.getProperty("java.class.path"), "larkworks.proxy.Main")
+                        System.getProperty("java.class.path"), "larkworks.cli.Larkworks", "proxy")
                         .redirectError(folder.resolve(i + ".log").toFile());
                 builder.environment().putAll(Map.of("GW_CONFIG", file.toString(), "GW_ADMIN_ADDR",
                         Bench.HOST + ":" + admins.get(i), "TMPDIR", folder.toString()));
--- a/src/test/java/larkworks/proxy/ReplacementTest.java
+++ b/src/test/java/larkworks/proxy/ReplacementTest.java
@@ -86,7 +86,7 @@
     private Process start(int admin) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "larkworks.proxy.Main");
+                System.getProperty("java.class.path"), "larkworks.cli.Larkworks", "proxy");
         builder.environment().put("GW_CONFIG", folder.resolve("config.json").toString());
         builder.environment().put("GW_ADMIN_ADDR", Bench.HOST + ":" + admin);
         builder.environment().put("TMPDIR", folder.resolve("tmp").toString());
