--- a/src/main/java/larkworks/proxy/Config.java
+++ b/src/main/java/larkworks/proxy/Config.java
@@ -16,7 +16,7 @@
  * What a proxy is told at its start.
  *
  * @param listen where clients connect
- * @param discovery where the list of backends is to be had
+ * @param discovery where the list of backends is to be had: one address or more, tried in turn
  * @param seed for the module's random numbers
  * @param sockets descriptors that the process may hold
  * @param settings the module's settings
@@ -29,7 +29,7 @@
  * @param state the folder that outlives this process; null where none is named
  * @param fleet the other proxies of the tier; null where membership is off
  */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+record Config(InetSocketAddress listen, List<InetSocketAddress> discovery, long seed, int sockets,
         Settings settings, List<String> zones, long connectTimeoutUs, long keepAliveUs, boolean loadReports,
         Listing known, InetSocketAddress admin, Path state, FleetConfig fleet) {
 
@@ -69,7 +69,7 @@
         List<String> zones = params.get("dcs") instanceof List<?> names
                 ? names.stream().map(String::valueOf).toList() : List.of();
         String state = environment.getOrDefault("TMPDIR", "");
-        return new Config(address(top.get("listen")), address(top.get("discovery")),
+        return new Config(address(top.get("listen")), addresses(top.get("discovery")),
                 Long.parseUnsignedLong(String.valueOf(top.get("seed")), 16),
                 (int) number(object(top, "limits"), "sockets"), settings, zones,
                 number(limits, "connectTimeoutUs"), number(limits, "keepaliveUs"),
@@ -91,6 +91,17 @@
         }
     }
 
+    /** One address, or a list of them. */
+    private static List<InetSocketAddress> addresses(Object given) {
+        if (!(given instanceof List<?> listed)) {
+            return List.of(address(given));
+        }
+        if (listed.isEmpty()) {
+            throw new IllegalArgumentException("discovery: one address at least is wanted");
+        }
+        return listed.stream().map(Config::address).distinct().toList();
+    }
+
     private static Map<?, ?> object(Map<?, ?> parent, String key) {
         if (parent.get(key) instanceof Map<?, ?> map) {
             return map;
--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -17,11 +17,14 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Objects;
+import java.util.SplittableRandom;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import larkworks.Balancer.ListKind;
@@ -34,6 +37,8 @@
 final class Discovery {
 
     private static final String PATH = "/registry/instances";
+    /** Our own list service tells by it which data it holds; see {@code larkworks.registry}. */
+    private static final String EPOCH = "X-Registry-Epoch";
     /** How long a watch may wait: short, so that one on a connection gone silent is soon given up. */
     private static final long WAIT_MS = 5_000;
     /** An answer later than this is taken to be lost. */
@@ -52,7 +57,10 @@
     /** The largest list read: some thousand backends. */
     private static final int MOST_LIST = 1 << 20;
 
-    private InetSocketAddress address;
+    /** Services that hold the list, the one asked at {@code at}; the next is tried when it fails. */
+    private List<InetSocketAddress> addresses;
+    private int at;
+    private final SplittableRandom jitter;
     private final boolean asked;
     private final List<String> zones;
     private final EventLoop loop;
@@ -62,6 +70,8 @@
     private Future<?> silence;
     /** The version held; negative where the whole list is wanted. */
     private long index = -1;
+    /** Which data the list held is of, as the service tells; null where it doesn't. */
+    private String epoch;
     private long pauseMs = FIRST_PAUSE_MS;
     private boolean calling;
     /** Whether the answer to the call has begun to come, and when. */
@@ -72,7 +82,8 @@
     private boolean heard;
 
     Discovery(Config config, EventLoop loop, Sockets sockets, Driver driver) {
-        this.address = config.discovery();
+        this.addresses = config.discovery();
+        this.jitter = new SplittableRandom(config.seed());
         this.asked = config.settings().watch();
         this.zones = config.zones();
         this.loop = loop;
@@ -99,13 +110,14 @@
         }
     }
 
-    /** From now on asks another address, and first for the whole list: versions may differ there. */
-    void moveTo(InetSocketAddress other) {
-        if (closed || other.equals(address)) {
+    /** From now on asks other addresses, and first for the whole list: versions may differ there. */
+    void moveTo(List<InetSocketAddress> others) {
+        if (closed || others.equals(addresses)) {
             return;
         }
-        address = other;
-        index = -1;
+        addresses = others;
+        at = 0;
+        forget();
         if (calling) {
             calling = false;
             silence.cancel(false);
@@ -114,6 +126,12 @@
         call();
     }
 
+    /** The list stays in force, but what comes next must be a whole one. */
+    private void forget() {
+        index = -1;
+        epoch = null;
+    }
+
     private void dropChannel() {
         if (channel != null) {
             Channel old = channel;
@@ -144,7 +162,7 @@
                                     new HttpRequestEncoder(), new ResponseDecoder(),
                                     new HttpObjectAggregator(MOST_LIST), new Reader());
                         }
-                    }).connect(address);
+                    }).connect(addresses.get(at));
             channel = connecting.channel();
             channel.closeFuture().addListener(done -> sockets.release());
             connecting.addListener(done -> {
@@ -178,6 +196,7 @@
     private void write(Channel to) {
         var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                 index < 0 ? PATH : PATH + "?index=" + index + "&wait=" + WAIT_MS, Unpooled.EMPTY_BUFFER);
+        InetSocketAddress address = addresses.get(at);
         request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
         to.writeAndFlush(request);
     }
@@ -199,10 +218,16 @@
         calling = false;
         silence.cancel(false);
         dropChannel();
+        if (addresses.size() > 1) {
+            at = (at + 1) % addresses.size();
+            forget();
+        }
         if (asked) {
             driver.discoveryFailed();
         } else {
-            loop.schedule(this::call, pauseMs, TimeUnit.MILLISECONDS);
+            // With jitter, lest all proxies come back to a service that was down at the same moment.
+            loop.schedule(this::call, pauseMs * 3 / 4 + jitter.nextLong(pauseMs / 2 + 1),
+                    TimeUnit.MILLISECONDS);
             pauseMs = Math.min(2 * pauseMs, MOST_PAUSE_MS);
         }
     }
@@ -214,13 +239,17 @@
                 listing = Listing.of(Json.object(ByteBufUtil.getBytes(response.content())), zones);
             } catch (IOException | RuntimeException e) {
                 System.err.println("discovery: " + e.getMessage());
-                index = -1;
+                forget();
             }
+        } else if (response.status().codeClass() == HttpStatusClass.CLIENT_ERROR) {
+            forget();  // it does not know the version held
         }
-        if (listing == null || index < 0 && !listing.whole()) {
+        String told = response.headers().get(EPOCH);
+        if (listing == null || !listing.whole() && !follows(listing, told)) {
             failed();
             return;
         }
+        epoch = told;
         calling = false;
         silence.cancel(false);
         heard = true;
@@ -238,6 +267,17 @@
         driver.listChanged(listing.whole() ? ListKind.WHOLE : ListKind.CHANGES, listing.entries());
     }
 
+    /** Whether changes may be applied to the list held; where not, the whole list is wanted next. */
+    private boolean follows(Listing changes, String told) {
+        boolean follows = index >= 0 && changes.index() >= index && Objects.equals(told, epoch);
+        if (!follows) {
+            System.err.println("discovery: changes up to " + changes.index()
+                    + " do not follow the list held, " + index);
+            forget();
+        }
+        return follows;
+    }
+
     /** Hands on what comes on the connection to discovery. */
     private final class Reader extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -185,7 +185,7 @@
     /** Turns to the discovery that the replaced file names; all else in it waits for a restart. */
     private synchronized void reload(String file) {
         try {
-            InetSocketAddress named = Config.read(file, System.getenv()).discovery();
+            List<InetSocketAddress> named = Config.read(file, System.getenv()).discovery();
             loop.execute(() -> discovery.moveTo(named));
         } catch (ConfigException e) {
             say("the old configuration is kept: " + e.getMessage());
