--- a/src/main/java/larkworks/SettingsCheck.java
+++ b/src/main/java/larkworks/SettingsCheck.java
@@ -7,11 +7,12 @@
 import larkworks.Balancer.Tenant;
 
 /** Refuses settings that make no sense, naming the field. */
-final class SettingsCheck {
+public final class SettingsCheck {
 
     private SettingsCheck() { }
 
-    static void check(Settings s) {
+    /** @throws IllegalArgumentException naming the first field that makes no sense */
+    public static void check(Settings s) {
         need(s != null, "settings", "missing");
         need(s.classes() != null && !s.classes().isEmpty(), "classes", "at least one is needed");
         for (int i = 0; i < s.classes().size(); i++) {
--- a/src/main/java/larkworks/cli/AddressConverter.java
+++ b/src/main/java/larkworks/cli/AddressConverter.java
@@ -1,7 +1,7 @@
 package larkworks.cli;
 
 import java.net.InetSocketAddress;
-import larkworks.proxy.Addresses;
+import larkworks.platform.Addresses;
 import picocli.CommandLine.ITypeConverter;
 import picocli.CommandLine.TypeConversionException;
 
--- a/src/main/java/larkworks/cli/Larkworks.java
+++ b/src/main/java/larkworks/cli/Larkworks.java
@@ -1,5 +1,6 @@
 package larkworks.cli;
 
+import larkworks.platform.ConfigFile.Unusable;
 import larkworks.platform.Logs;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -16,7 +17,7 @@
 @Command(name = "larkworks", mixinStandardHelpOptions = true, versionProvider = Version.class,
         description = "A load-balancing proxy for services that call services, and what its fleet needs.",
         subcommands = {ProxyCommand.class, AdapterCommand.class, RegistryCommand.class, MemberCommand.class,
-            MembersCommand.class, HelpCommand.class})
+            MembersCommand.class, CheckConfigCommand.class, HelpCommand.class})
 public final class Larkworks implements Runnable {
 
     @Spec
@@ -25,13 +26,22 @@
     /** Runs the command named by the arguments and exits with its status. */
     public static void main(String[] args) {
         Logs.quietNetty();
-        int status = commandLine().execute(args);
+        int status = platformStart(args) ? ProxyCommand.start() : commandLine().execute(args);
         // A service goes on in its own threads after 0.
         if (status != ExitCode.OK) {
             System.exit(status);
         }
     }
 
+    /**
+     * Whether this is the platform's start of a proxy, {@code larkworks proxy} and no more: there is nothing to
+     * parse, and the JVM can't keep picocli's 180 classes in its archive, being compiled for Java 5; to load
+     * them takes each proxy 100 ms of its core (docs/ROADMAP.md).
+     */
+    private static boolean platformStart(String[] args) {
+        return args.length == 1 && args[0].equals("proxy");
+    }
+
     /** The command line, its errors told in one line. */
     public static CommandLine commandLine() {
         return new CommandLine(new Larkworks())
@@ -42,18 +52,18 @@
                     return ExitCode.USAGE;
                 })
                 .setExecutionExceptionHandler((e, command, parsed) -> {
-                    command.getErr().println("larkworks: " + (e.getMessage() == null ? e : e.getMessage()));
-                    return e instanceof BadConfiguration ? ExitCode.USAGE : ExitCode.SOFTWARE;
+                    command.getErr().println(told(e));
+                    return status(e);
                 });
     }
 
-    /** A configuration that can't be used; the message names file, key and what was wanted. */
-    static final class BadConfiguration extends Exception {
-        private static final long serialVersionUID = 1L;
+    /** What the user is told of a failure: one line. */
+    static String told(Exception e) {
+        return "larkworks: " + (e.getMessage() == null ? e : e.getMessage());
+    }
 
-        BadConfiguration(String message) {
-            super(message);
-        }
+    static int status(Exception e) {
+        return e instanceof Unusable ? ExitCode.USAGE : ExitCode.SOFTWARE;
     }
 
     @Override
--- a/src/main/java/larkworks/cli/MemberCommand.java
+++ b/src/main/java/larkworks/cli/MemberCommand.java
@@ -1,15 +1,15 @@
 package larkworks.cli;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.Callable;
-import larkworks.adapter.Json;
-import larkworks.cli.Larkworks.BadConfiguration;
 import larkworks.fleet.Agent;
 import larkworks.fleet.FleetConfig;
+import larkworks.platform.ConfigFile;
+import larkworks.platform.ConfigFile.Unusable;
+import larkworks.platform.LogSettings;
 import larkworks.platform.Logs;
+import larkworks.platform.Section;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
@@ -18,19 +18,19 @@
         + "until SIGTERM.")
 final class MemberCommand extends Common implements Callable<Integer> {
 
-    @Parameters(paramLabel = "FILE", description = "JSON with peer_listen, peers, and perhaps peers_all, "
+    @Parameters(paramLabel = "FILE", description = "TOML or JSON with peer_listen, peers, and perhaps peers_all, "
             + "member and membership.")
     private Path config;
 
     @Override
-    public Integer call() throws Exception {
-        FleetConfig fleet;
-        try {
-            fleet = FleetConfig.of(Json.object(Files.readAllBytes(config)));
-        } catch (IOException | IllegalArgumentException e) {
-            throw new BadConfiguration(config + ": " + e.getMessage());
+    public Integer call() throws Unusable, InterruptedException {
+        Section top = Section.top(ConfigFile.read(config));
+        FleetConfig fleet = FleetConfig.of(top);
+        LogSettings logs = LogSettings.of(top.optionalSection("logs"));
+        if (!top.faults().isEmpty()) {
+            throw new Unusable(config.toString(), top.faults());
         }
-        Logs.start(System.out, Map.of());
+        Logs.start(logs, Map.of());
         Shutdown.hook(new Agent(fleet));
         return 0;
     }
--- a/src/main/java/larkworks/cli/RegistryCommand.java
+++ b/src/main/java/larkworks/cli/RegistryCommand.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import larkworks.platform.LogSettings;
 import larkworks.platform.Logs;
 import larkworks.registry.Registry;
 import picocli.CommandLine.Command;
@@ -41,7 +42,7 @@
             throw new ParameterException(spec.commandLine(),
                     "--snapshot-bytes of 1 or more and --max-tombstones of 0 or more are wanted");
         }
-        Logs.start(System.out, Map.of());
+        Logs.start(LogSettings.defaults(), Map.of());
         Registry registry = new Registry(new Registry.Settings(listen, data, snapshotBytes, maxTombstones));
         Shutdown.hook(registry);
         return 0;
--- a/src/main/java/larkworks/cli/Shutdown.java
+++ b/src/main/java/larkworks/cli/Shutdown.java
@@ -1,5 +1,6 @@
 package larkworks.cli;
 
+import larkworks.platform.Logs;
 import org.slf4j.LoggerFactory;
 
 /** Ends a service at SIGTERM: the JVM waits for it. */
@@ -13,6 +14,8 @@
                 service.close();
             } catch (Exception e) {
                 LoggerFactory.getLogger("shutdown").error("the service did not end cleanly", e);
+            } finally {
+                Logs.stop();
             }
         }));
     }
--- a/src/main/java/larkworks/fleet/FleetMember.java
+++ b/src/main/java/larkworks/fleet/FleetMember.java
@@ -35,6 +35,9 @@
     private final Consumer<String> trouble;
     private Future<?> ticking;
     private boolean left;
+    /** Replaced whole, for other threads to read. */
+    private volatile int[] counts = new int[MemberState.values().length];
+    private volatile boolean minority;
 
     /**
      * @param events what the owner hears; on the loop
@@ -48,6 +51,13 @@
         membership = new Membership(config.self(), config.peers().size(), config.settings(), new Random(),
                 nowUs(), System.currentTimeMillis() / 1000, new Counting(events));
         socket = new PeerSocket(loop, config, this::receive);
+        counted();
+    }
+
+    private void counted() {
+        int[] fresh = new int[MemberState.values().length];
+        membership.rows().forEach(row -> fresh[row.state().ordinal()]++);
+        counts = fresh;
     }
 
     /**
@@ -87,6 +97,16 @@
         return socket.close();
     }
 
+    /** Members held in a state, as of the last change or tick. Safe to read from any thread. */
+    public int count(MemberState state) {
+        return counts[state.ordinal()];
+    }
+
+    /** See {@link Membership#minority()}. Safe to read from any thread. */
+    public boolean minority() {
+        return minority;
+    }
+
     /** Own incarnation now. */
     public long incarnation() {
         return membership.incarnation();
@@ -167,6 +187,7 @@
 
         @Override
         public void changed(int member, MemberState from, MemberState to, long incarnation) {
+            counted();
             owner.changed(member, from, to, incarnation);
         }
 
@@ -178,6 +199,7 @@
 
         @Override
         public void minority(boolean now) {
+            minority = now;
             owner.minority(now);
         }
     }
--- a/src/main/java/larkworks/fleet/MembershipSettings.java
+++ b/src/main/java/larkworks/fleet/MembershipSettings.java
@@ -1,5 +1,7 @@
 package larkworks.fleet;
 
+import larkworks.platform.Section;
+
 /**
  * The failure detector's figures; times in microseconds on the caller's clock.
  *
@@ -18,6 +20,8 @@
         double suspicionAlpha, double suspicionBeta, int retransmitMult, int deadProbePeriods,
         int healthMost, int syncRows) {
 
+    private static final double MOST_MS = 600_000;
+
     /**
      * Checks the figures.
      *
@@ -47,6 +51,26 @@
         return new MembershipSettings(500_000, 200_000, 3, 5, 6, 4, 4, 8, 4);
     }
 
+    /** Reads the {@code membership} table; what is wrong is noted in it. */
+    static MembershipSettings of(Section m) {
+        MembershipSettings d = defaults();
+        double interval = m.number("probe_interval_ms", d.probeIntervalUs() / 1e3, 1, MOST_MS);
+        double timeout = m.number("probe_timeout_ms", Math.min(d.probeTimeoutUs() / 1e3, interval * 0.4),
+                0.1, MOST_MS);
+        if (timeout >= interval) {
+            m.fault("probe_timeout_ms", "less than the interval of " + interval + " ms is wanted");
+            timeout = interval / 2;
+        }
+        return new MembershipSettings((long) (interval * 1000), (long) (timeout * 1000),
+                (int) m.whole("indirect_checks", (long) d.indirectChecks(), 0, 32),
+                m.number("suspicion_alpha", d.suspicionAlpha(), 0.1, 1000),
+                m.number("suspicion_beta", d.suspicionBeta(), 1, 1000),
+                (int) m.whole("retransmit_mult", (long) d.retransmitMult(), 1, 100),
+                (int) m.whole("dead_probe_periods", (long) d.deadProbePeriods(), 1, 1000),
+                (int) m.whole("health_max", (long) d.healthMost(), 0, 64),
+                (int) m.whole("sync_rows", (long) d.syncRows(), 0, PeerCodec.MOST_UPDATES));
+    }
+
     /** Least suspicion time for {@code n} members. */
     long suspicionMinUs(int n) {
         return (long) (suspicionAlpha * Math.max(1, Math.log10(n)) * probeIntervalUs);
--- a/src/main/java/larkworks/proxy/Addresses.java
+++ b/src/main/java/larkworks/platform/Addresses.java
@@ -1,11 +1,11 @@
-package larkworks.proxy;
+package larkworks.platform;
 
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 
-/** Addresses as the configurations give them; shared by the proxy and the fleet's member process. */
+/** Addresses as the configurations give them; shared by all parts. */
 public final class Addresses {
 
     private Addresses() { }
--- a/src/main/java/larkworks/platform/JsonLines.java
+++ b/src/main/java/larkworks/platform/JsonLines.java
@@ -13,7 +13,7 @@
 
 /**
  * A log event as one JSON object on a line: {@code ts} (Unix ms), {@code level}, {@code component} (the
- * logger's name), then the process's own fields (MDC), {@code message}, and the event's key-value pairs.
+ * logger's name), then the process's own fields, {@code message}, and the event's key-value pairs.
  * Jackson escapes quotes, newlines and control characters, so that each line is valid JSON.
  */
 public final class JsonLines extends EncoderBase<ILoggingEvent> {
@@ -21,6 +21,13 @@
     private static final JsonFactory JSON = new JsonFactory();
     private static final byte[] NOTHING = {};
 
+    private final Map<String, String> fields;
+
+    /** @param fields of the process, which stand in each line */
+    JsonLines(Map<String, String> fields) {
+        this.fields = Map.copyOf(fields);
+    }
+
     @Override
     public byte[] encode(ILoggingEvent event) {
         ByteArrayOutputStream line = new ByteArrayOutputStream(256);
@@ -29,7 +36,7 @@
             g.writeNumberField("ts", event.getTimeStamp());
             g.writeStringField("level", event.getLevel().toString());
             g.writeStringField("component", event.getLoggerName());
-            for (Map.Entry<String, String> field : event.getMDCPropertyMap().entrySet()) {
+            for (Map.Entry<String, String> field : fields.entrySet()) {
                 g.writeStringField(field.getKey(), field.getValue());
             }
             g.writeStringField("message", event.getFormattedMessage());
--- a/src/main/java/larkworks/proxy/Admin.java
+++ b/src/main/java/larkworks/proxy/Admin.java
@@ -39,6 +39,7 @@
  */
 final class Admin {
 
+    private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
     /** Connections at a time; past that the longest silent goes. */
     static final int MOST_CONNECTIONS = 16;
     private static final int MOST_BODY = 4096;
@@ -52,10 +53,14 @@
     private final Maintenance maintenance;
     /** The member table as JSON; null where membership is off. */
     private final Supplier<String> members;
+    /** Null where no metrics are kept. */
+    private final Meters meters;
     /** Connections, the longest silent first. */
     private final Set<Channel> open = new LinkedHashSet<>();
 
-    Admin(EventLoop loop, BooleanSupplier ready, Maintenance maintenance, Supplier<String> members) {
+    Admin(EventLoop loop, BooleanSupplier ready, Maintenance maintenance, Supplier<String> members,
+            Meters meters) {
+        this.meters = meters;
         this.loop = loop;
         this.ready = ready;
         this.maintenance = maintenance;
@@ -180,6 +185,12 @@
                 return;
             }
             answered = true;
+            if (meters != null && call.uri().equals("/metrics") && call.method().equals(HttpMethod.GET)) {
+                Channel channel = context.channel();
+                meters.scrape(text -> loop.execute(() -> Lingering.close(channel, response(
+                        new Reply(HttpResponseStatus.OK, METRICS_TYPE, text)), LINGER_MS)));
+                return;
+            }
             Lingering.close(context.channel(), response(reply(call)), LINGER_MS);
         }
 
--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -35,6 +35,8 @@
 import java.util.function.Supplier;
 import larkworks.Balancer.LoadReport;
 import larkworks.Balancer.Outcome;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The connections to backends: sends one exchange at a time on each and tells how it ended. It sends nothing
@@ -42,6 +44,7 @@
  */
 final class BackendPool {
 
+    private static final Logger LOG = LoggerFactory.getLogger("proxy");
     /** A body up to this is held whole. */
     static final int MOST_BODY = 64 << 10;
     /** The largest body that is passed on. */
@@ -280,7 +283,7 @@
                 message = done ? null : request.get();
             } catch (RuntimeException e) {
                 // A request that can't be put into words must not take the connection with it.
-                System.err.println("request to " + free.address + " not sent: " + e);
+                LOG.atError().addKeyValue("backend", free.address).setCause(e).log("request not sent");
             }
             if (message == null) {
                 keep(free);
--- a/src/main/java/larkworks/proxy/Config.java
+++ b/src/main/java/larkworks/proxy/Config.java
@@ -1,20 +1,26 @@
 package larkworks.proxy;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import larkworks.Balancer.Settings;
-import larkworks.adapter.Json;
+import larkworks.SettingsCheck;
 import larkworks.adapter.SettingsReader;
 import larkworks.adapter.WireException;
 import larkworks.fleet.FleetConfig;
+import larkworks.platform.Addresses;
+import larkworks.platform.ConfigFile;
+import larkworks.platform.ConfigFile.Unusable;
+import larkworks.platform.LogSettings;
+import larkworks.platform.Section;
 
 /**
  * What a proxy is told at its start.
  *
+ * @param name its name, the same after a restart; "" where none is told
  * @param listen where clients connect
  * @param discovery where the list of backends is to be had: one address or more, tried in turn
  * @param seed for the module's random numbers
@@ -28,96 +34,133 @@
  * @param admin where the operators' calls come; null where there is no such address
  * @param state the folder that outlives this process; null where none is named
  * @param fleet the other proxies of the tier; null where membership is off
+ * @param logs what is logged
+ * @param metrics whether metrics are kept and told at the operators' address
  */
-record Config(InetSocketAddress listen, List<InetSocketAddress> discovery, long seed, int sockets,
-        Settings settings, List<String> zones, long connectTimeoutUs, long keepAliveUs, boolean loadReports,
-        Listing known, InetSocketAddress admin, Path state, FleetConfig fleet) {
+public record Config(String name, InetSocketAddress listen, List<InetSocketAddress> discovery, long seed,
+        int sockets, Settings settings, List<String> zones, long connectTimeoutUs, long keepAliveUs,
+        boolean loadReports, Listing known, InetSocketAddress admin, Path state, FleetConfig fleet,
+        LogSettings logs, boolean metrics) {
 
-    /** A configuration that can't be used; the message is for the operator. */
-    static final class ConfigException extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        ConfigException(String message) {
-            super(message);
-        }
-    }
-
-    static Config read(String file) throws ConfigException {
-        return read(file, Map.of());
-    }
-
-    /** Reads the file; {@code GW_ADMIN_ADDR} goes before what it says, as it is told to one process alone. */
-    static Config read(String file, Map<String, String> environment) throws ConfigException {
+    /**
+     * Reads a file, in TOML or as the platform writes it. What the command line says goes before
+     * {@code GW_ADMIN_ADDR}, which is told to one process alone, and that before the file; {@code GW_NAME},
+     * {@code GW_LISTEN} and {@code GW_DISCOVERY} fill in only what the file leaves out, as the file may be
+     * replaced while the process runs.
+     *
+     * @param flags values by key, which stand before the file's
+     * @throws Unusable naming everything that is wrong
+     */
+    public static Config read(String file, Map<String, String> environment, Map<String, String> flags)
+            throws Unusable {
         if (file == null || file.isBlank()) {
-            throw new ConfigException("GW_CONFIG names no file");
+            throw new Unusable("GW_CONFIG", List.of("names no file"));
         }
-        try {
-            return of(Json.object(Files.readAllBytes(Path.of(file))), environment);
-        } catch (IOException | RuntimeException e) {
-            String why = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
-            throw new ConfigException(file + ": " + why + " (" + e.getClass().getSimpleName() + ")");
-        } catch (WireException e) {
-            throw new ConfigException(file + ": " + e.getMessage());
+        Map<Object, Object> values = new LinkedHashMap<>(ConfigFile.read(Path.of(file)));
+        Map.of("name", "GW_NAME", "listen", "GW_LISTEN", "discovery", "GW_DISCOVERY").forEach((key, from) -> {
+            if (values.get(key) == null && !environment.getOrDefault(from, "").isBlank()) {
+                values.put(key, environment.get(from));
+            }
+        });
+        String admin = environment.getOrDefault("GW_ADMIN_ADDR", "");
+        if (!admin.isBlank()) {
+            values.put("admin_addr", admin);
+        }
+        values.putAll(flags);
+        Section top = Section.top(values);
+        Config config = of(top, environment.getOrDefault("TMPDIR", ""));
+        if (ConfigFile.isToml(Path.of(file))) {
+            top.refuseUnknown();
+        }
+        if (!top.faults().isEmpty()) {
+            throw new Unusable(file, top.faults());
         }
+        return config;
     }
 
-    private static Config of(Map<String, Object> top, Map<String, String> environment) throws WireException {
-        Map<?, ?> params = object(top, "settings");
-        @SuppressWarnings("unchecked")
-        Settings settings = SettingsReader.read((Map<String, Object>) params);
-        Map<?, ?> limits = object(params, "limits");
-        List<String> zones = params.get("dcs") instanceof List<?> names
-                ? names.stream().map(String::valueOf).toList() : List.of();
-        String state = environment.getOrDefault("TMPDIR", "");
-        return new Config(address(top.get("listen")), addresses(top.get("discovery")),
-                Long.parseUnsignedLong(String.valueOf(top.get("seed")), 16),
-                (int) number(object(top, "limits"), "sockets"), settings, zones,
-                number(limits, "connectTimeoutUs"), number(limits, "keepaliveUs"),
-                params.get("loadInfo") instanceof Map<?, ?> info && !"none".equals(info.get("how")),
-                top.get("known") == null ? null : Listing.of(object(top, "known"), zones),
-                admin(top.get("admin_addr"), environment.getOrDefault("GW_ADMIN_ADDR", "")),
-                state.isBlank() ? null : Path.of(state), FleetConfig.ofProxy(top));
+    static Config read(String file) throws Unusable {
+        return read(file, Map.of(), Map.of());
     }
 
-    /** Where the operators' calls come; the environment's word goes before that of the file. */
-    private static InetSocketAddress admin(Object filed, String own) {
-        if (own.isBlank()) {
-            return filed == null ? null : address(filed);
+    private static Config of(Section top, String state) {
+        InetSocketAddress listen = top.address("listen");
+        InetSocketAddress admin = top.optionalAddress("admin_addr");
+        if (admin != null && admin.equals(listen) && admin.getPort() != 0) {
+            top.fault("admin_addr", "is the address of listen");
         }
-        try {
-            return address(own);
-        } catch (IllegalArgumentException e) {
-            throw new IllegalArgumentException("GW_ADMIN_ADDR: " + e.getMessage(), e);
+        Section limits = top.section("limits");
+        limits.allow("cores", "memory_mb");
+        Section params = top.section("settings");
+        Settings settings = settings(top, params.map());
+        List<String> zones = params.map().get("dcs") instanceof List<?> names
+                ? names.stream().map(String::valueOf).toList() : List.of();
+        Section bounds = params.section("limits");
+        Section metrics = top.optionalSection("metrics");
+        Config config = new Config(top.text("name", ""), listen, top.addresses("discovery", true), seed(top),
+                (int) limits.whole("sockets", null, 1, Integer.MAX_VALUE), settings, zones,
+                bounds.whole("connectTimeoutUs", null, 1, Long.MAX_VALUE),
+                bounds.whole("keepaliveUs", null, 0, Long.MAX_VALUE),
+                params.map().get("loadInfo") instanceof Map<?, ?> info && !"none".equals(info.get("how")),
+                known(top, zones), admin, state.isBlank() ? null : Path.of(state),
+                FleetConfig.ofProxy(top, !Boolean.FALSE.equals(bounds.map().get("peers"))),
+                LogSettings.of(top.optionalSection("logs")), metrics.flag("enabled", false));
+        if (config.metrics && admin == null) {
+            top.fault("metrics.enabled", "admin_addr is wanted, where metrics are told");
         }
+        return config;
     }
 
-    /** One address, or a list of them. */
-    private static List<InetSocketAddress> addresses(Object given) {
-        if (!(given instanceof List<?> listed)) {
-            return List.of(address(given));
-        }
-        if (listed.isEmpty()) {
-            throw new IllegalArgumentException("discovery: one address at least is wanted");
+    private static long seed(Section top) {
+        String text = top.text("seed", null);
+        try {
+            return text.isEmpty() ? 0 : Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            top.fault("seed", "up to 16 hexadecimal digits are wanted, not '" + text + "'");
+            return 0;
         }
-        return listed.stream().map(Config::address).distinct().toList();
     }
 
-    private static Map<?, ?> object(Map<?, ?> parent, String key) {
-        if (parent.get(key) instanceof Map<?, ?> map) {
-            return map;
+    /** Null where they can't be read, or make no sense: the first reason is a fault. */
+    private static Settings settings(Section top, Map<String, Object> params) {
+        try {
+            Settings settings = SettingsReader.read(params);
+            SettingsCheck.check(settings);
+            return settings;
+        } catch (WireException | IllegalArgumentException e) {
+            top.fault("settings", e.getMessage());
+            return null;
         }
-        throw new IllegalArgumentException(key + " is missing or no object");
     }
 
-    private static long number(Map<?, ?> parent, String key) {
-        if (parent.get(key) instanceof Number n) {
-            return n.longValue();
+    private static Listing known(Section top, List<String> zones) {
+        if (!top.has("known")) {
+            return null;
+        }
+        try {
+            return Listing.of(top.section("known").map(), zones);
+        } catch (IllegalArgumentException e) {
+            top.fault("known", e.getMessage());
+            return null;
         }
-        throw new IllegalArgumentException(key + " is missing or no number");
     }
 
     /** Reads {@code host:port}; see {@link Addresses#parse}. */
     static InetSocketAddress address(Object value) {
         return Addresses.parse(value);
     }
+
+    /** What of a configuration a running proxy takes up at SIGHUP, and what it would need a restart for. */
+    List<String> restartNeeded(Config next) {
+        List<String> keys = new ArrayList<>();
+        if (!listen.equals(next.listen) && listen.getPort() != 0) {
+            keys.add("listen");
+        }
+        if (!settings.equals(next.settings)) {
+            keys.add("settings");
+        }
+        if (sockets != next.sockets) {
+            keys.add("limits.sockets");
+        }
+        return keys;
+    }
 }
--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -29,6 +29,8 @@
 import java.util.concurrent.TimeUnit;
 import larkworks.Balancer.ListKind;
 import larkworks.adapter.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Keeps the list of backends up to date. Where lists are pushed it watches from the start; where discovery
@@ -36,6 +38,7 @@
  */
 final class Discovery {
 
+    private static final Logger LOG = LoggerFactory.getLogger("discovery");
     private static final String PATH = "/registry/instances";
     /** Our own list service tells by it which data it holds; see {@code larkworks.registry}. */
     private static final String EPOCH = "X-Registry-Epoch";
@@ -69,7 +72,7 @@
     private Channel channel;
     private Future<?> silence;
     /** The version held; negative where the whole list is wanted. */
-    private long index = -1;
+    private volatile long index = -1;
     /** Which data the list held is of, as the service tells; null where it doesn't. */
     private String epoch;
     private long pauseMs = FIRST_PAUSE_MS;
@@ -98,6 +101,11 @@
         }
     }
 
+    /** The version held; negative where the whole list is wanted. Safe to read from any thread. */
+    long index() {
+        return index;
+    }
+
     /** Whether a list has come since the start. */
     boolean heard() {
         return heard;
@@ -238,7 +246,7 @@
             try {
                 listing = Listing.of(Json.object(ByteBufUtil.getBytes(response.content())), zones);
             } catch (IOException | RuntimeException e) {
-                System.err.println("discovery: " + e.getMessage());
+                LOG.atWarn().addKeyValue("why", e.getMessage()).log("a list that can't be read");
                 forget();
             }
         } else if (response.status().codeClass() == HttpStatusClass.CLIENT_ERROR) {
@@ -271,8 +279,8 @@
     private boolean follows(Listing changes, String told) {
         boolean follows = index >= 0 && changes.index() >= index && Objects.equals(told, epoch);
         if (!follows) {
-            System.err.println("discovery: changes up to " + changes.index()
-                    + " do not follow the list held, " + index);
+            LOG.atWarn().addKeyValue("index", changes.index()).addKeyValue("held", index)
+                    .log("changes do not follow the list held");
             forget();
         }
         return follows;
--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -29,6 +29,8 @@
 import larkworks.Balancer.ServerStatus;
 import larkworks.Balancer.Settings;
 import larkworks.Logic;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Translates between sockets and the decision module: events in, actions out. It decides nothing but what the
@@ -37,6 +39,8 @@
  */
 final class Driver implements Actions {
 
+    private static final Logger LOG = LoggerFactory.getLogger("proxy");
+    private static final Logger DECISIONS = LoggerFactory.getLogger("decisions");
     /** If nothing else was in time, a request is answered as failed so long before its client gives up. */
     private static final long GUARD_US = 20_000;
     /** Nothing is begun in this last part of a drain's grace: word of it was read later than told. */
@@ -166,8 +170,15 @@
     private long lastId;
     private boolean deciding;
     private Runnable watch = () -> { };
+    /** Null where no metrics are kept. */
+    private final Meters meters;
 
     Driver(Config config, Clock clock, EventLoop loop, BackendPool pool) {
+        this(config, clock, loop, pool, null);
+    }
+
+    Driver(Config config, Clock clock, EventLoop loop, BackendPool pool, Meters meters) {
+        this.meters = meters;
         this.settings = config.settings();
         this.loadReports = config.loadReports();
         this.clock = clock;
@@ -230,6 +241,9 @@
             balancer.serversChanged(now, kind, servers);
             // Attempts that are still connecting keep their backend, and so the time it went down.
             backends.values().removeIf(b -> b.status == ServerStatus.GONE);
+            if (meters != null) {
+                meters.listed(kind == ListKind.WHOLE, backends.keySet());
+            }
             retire();
         });
     }
@@ -279,6 +293,9 @@
     }
 
     void discoveryFailed() {
+        if (meters != null) {
+            meters.discoveryFailed();
+        }
         enter(() -> balancer.discoveryFailed(clock.nowUs()));
     }
 
@@ -335,7 +352,7 @@
             held.answering.exchange.abandon();
             ended(held.answering, Answer.of(Outcome.CANCELLED));
         } else if (!held.over) {
-            over(held);
+            over(held, Meters.Result.GONE);
             enter(() -> balancer.clientGone(clock.nowUs(), held.id));
             forget(held);
         }
@@ -345,7 +362,7 @@
     private void guard(Held held) {
         if (!held.over) {
             boolean waits = held.out == 0;
-            over(held);
+            over(held, Meters.Result.FAILED);
             held.client.failed();
             forget(held);
             if (waits) {
@@ -363,7 +380,7 @@
             return null;
         }
         held.answering = attempt;
-        over(held);
+        over(held, Meters.Result.SERVED);
         if (attempt.timeout != null) {
             attempt.timeout.cancel(false);
         }
@@ -388,10 +405,19 @@
         if (attempt.timeout != null) {
             attempt.timeout.cancel(false);
         }
+        if (meters != null) {
+            meters.attempted(attempt.server, attempt.number, answer.outcome(),
+                    Math.max(0, clock.nowUs() - attempt.sentAtUs));
+        }
+        if (LOG.isDebugEnabled()) {
+            LOG.atDebug().addKeyValue("request", held.inbound.callId())
+                    .addKeyValue("attempt", attempt.number).addKeyValue("backend", attempt.server)
+                    .addKeyValue("outcome", answer.outcome()).log("attempt ended");
+        }
         enter(() -> {
             held.out--;
             if (answer.outcome() == Outcome.OK && !held.over) {
-                over(held);
+                over(held, Meters.Result.SERVED);
                 held.client.served(answer.body(), answer.type());
             }
             long now = clock.nowUs();
@@ -412,20 +438,27 @@
     /** What no client sent is failed; it speaks neither against the backend nor for another attempt. */
     private void withdraw(long now, Held held) {
         if (!held.over) {
-            over(held);
+            over(held, Meters.Result.FAILED);
             held.client.failed();
             balancer.clientGone(now, held.id);
         }
     }
 
     private void fault(Held held, RuntimeException e) {
-        System.err.println("request " + held.id + " failed: " + e);
-        e.printStackTrace();
+        LOG.atError().addKeyValue("request", held.inbound.callId()).setCause(e).log("request failed");
         fail(held.id);
     }
 
-    private void over(Held held) {
+    private void over(Held held, Meters.Result result) {
         held.over = true;
+        if (meters != null) {
+            meters.answered(held.inbound.requestClass(), result,
+                    Math.max(0, clock.nowUs() - held.inbound.takenAtUs()));
+        }
+        if (LOG.isDebugEnabled()) {
+            LOG.atDebug().addKeyValue("request", held.inbound.callId()).addKeyValue("result", result)
+                    .addKeyValue("attempts", held.tries.size()).log("answered");
+        }
         if (held.guard != null) {
             held.guard.cancel(false);
         }
@@ -453,7 +486,7 @@
             event.run();
         } catch (RuntimeException e) {
             // The process goes on: other requests, and the guards of those concerned, need it.
-            e.printStackTrace();
+            LOG.error("an event failed", e);
         } finally {
             deciding = false;
         }
@@ -538,7 +571,7 @@
     public void refuse(String request, long retryAfterUs) {
         Held held = requests.get(request);
         if (held != null && !held.over) {
-            over(held);
+            over(held, Meters.Result.REFUSED);
             held.client.refused(retryAfterUs);
             forget(held);
         }
@@ -548,7 +581,7 @@
     public void fail(String request) {
         Held held = requests.get(request);
         if (held != null && !held.over) {
-            over(held);
+            over(held, Meters.Result.FAILED);
             held.client.failed();
             forget(held);
         }
@@ -634,6 +667,6 @@
 
     @Override
     public void log(String text) {
-        System.err.println(text);
+        DECISIONS.info(text);
     }
 }
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -54,10 +54,13 @@
 import larkworks.Balancer.Effect;
 import larkworks.Balancer.RequestClass;
 import larkworks.Balancer.Settings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The clients' side: reads their requests, hands good ones to the driver, and writes the answers. */
 final class Frontend {
 
+    private static final Logger LOG = LoggerFactory.getLogger("proxy");
     /** Heads and parts of bodies that one connection may have waiting behind the request in flight. */
     private static final int MOST_WAITING = 16;
     /** Clients may send a body at 64 kB a second; one that stays well under that is no client. */
@@ -185,7 +188,7 @@
                 queue.add(next);
             }
         } catch (IOException e) {
-            System.err.println("larkworks: connections in the queue are lost: " + e);
+            LOG.error("connections in the queue are lost", e);
         }
         queue.forEach(socket -> listener.pipeline().fireChannelRead(new NioSocketChannel(listener, socket)));
         listener.close();
@@ -440,7 +443,7 @@
             } catch (Rejected e) {
                 reject(e);
             } catch (RuntimeException e) {
-                System.err.println("request failed: " + e);
+                LOG.error("request failed", e);
                 if (head != null && !closing) {
                     receiving = true;
                     answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, null, null, -1);
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -10,6 +10,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import larkworks.Balancer.ListKind;
@@ -17,11 +18,16 @@
 import larkworks.fleet.FleetMember;
 import larkworks.fleet.MemberState;
 import larkworks.fleet.Membership;
-import larkworks.proxy.Config.ConfigException;
+import larkworks.platform.ConfigFile.Unusable;
+import larkworks.platform.Logs;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** One proxy: its parts and its life from start to SIGTERM. */
 public final class Main {
 
+    private static final Logger LOG = LoggerFactory.getLogger("proxy");
+
     /** New connections come for up to 0.4 s after SIGTERM; each still gets its answers. */
     private static final long ACCEPT_MS = 700;
     /** How often it is seen whether all is finished. */
@@ -48,37 +54,57 @@
     private Channel admin;
     /** Null where membership is off. */
     private final FleetMember member;
+    /** Null where no metrics are kept. */
+    private final Meters meters;
     private final Promise<InetSocketAddress> serving = loop.newPromise();
 
     Main(Config config) {
         this.config = config;
         sockets = new Sockets(config.sockets(), config.admin() == null ? 0 : Admin.MOST_CONNECTIONS + 1);
         BackendPool pool = new BackendPool(loop, sockets, config.connectTimeoutUs(), config.keepAliveUs());
-        driver = new Driver(config, new Clock(), loop, pool);
+        meters = config.metrics() ? new Meters(config.settings().classes()) : null;
+        driver = new Driver(config, new Clock(), loop, pool, meters);
         frontend = new Frontend(config, loop, sockets, driver);
         discovery = new Discovery(config, loop, sockets, driver);
         member = config.fleet() == null ? null
-                : new FleetMember(loop, config.fleet(), new MemberLog(), Main::say);
+                : new FleetMember(loop, config.fleet(), new MemberLog(),
+                        text -> LOG.warn(text));
+        if (meters != null) {
+            measure();
+        }
         sockets.evictors(frontend::evictStranger, pool::evict, frontend::evict);
     }
 
     /**
-     * Runs the proxy that a file describes; what {@code GW_ADMIN_ADDR} says goes before the file.
+     * Runs the proxy that a file describes; see {@link Config#read}.
      *
      * @param file the configuration's name, null where none was given
-     * @return the exit status: 0 where it serves from now on, 2 where the configuration can't be used
+     * @param flags values that stand before the file's
+     * @throws Unusable where the configuration, or an address in it, can't be used
      */
-    public static int run(String file) throws InterruptedException {
-        try {
-            Main main = new Main(Config.read(file, System.getenv()));
-            HangUp.handle(() -> main.reload(file));
-            main.start();
-            Runtime.getRuntime().addShutdownHook(new Thread(main::finish));
-            main.awaitServing();
-            return 0;
-        } catch (ConfigException e) {
-            say(e.getMessage());
-            return 2;
+    public static void run(String file, Map<String, String> flags) throws Unusable, InterruptedException {
+        Config config = Config.read(file, System.getenv(), flags);
+        Logs.start(config.logs(), config.name().isEmpty() ? Map.of() : Map.of("node", config.name()));
+        Main main = new Main(config);
+        HangUp.handle(() -> main.reload(file, flags));
+        main.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            main.finish();
+            Logs.stop();
+        }));
+        main.awaitServing();
+    }
+
+    /** Figures that are looked at when scraped, each safe to read from another thread. */
+    private void measure() {
+        meters.gauge("larkworks.discovery.index", discovery, d -> d.index());
+        meters.gauge("larkworks.sockets.open", sockets, s -> s.open());
+        if (member != null) {
+            meters.gauge("larkworks.minority", member, m -> m.minority() ? 1 : 0);
+            for (MemberState state : MemberState.values()) {
+                meters.gauge("larkworks.members", member, m -> m.count(state), "state",
+                        FleetMember.name(state));
+            }
         }
     }
 
@@ -86,7 +112,7 @@
      * Starts everything. Without a second address clients are listened for at once; with one another process
      * may serve them still, so that this one takes its part only when it can serve.
      */
-    void start() throws ConfigException, InterruptedException {
+    void start() throws Unusable, InterruptedException {
         boolean shared = config.admin() != null;
         maintenance = shared ? maintenance() : null;
         loop.submit(() -> {
@@ -102,7 +128,7 @@
         }).sync();
         if (shared) {
             admin = await(new Admin(loop, frontend::serves, maintenance,
-                    member == null ? null : member::table).listen(config.admin()),
+                    member == null ? null : member::table, meters).listen(config.admin()),
                     config.admin());
         }
         // Warming up at the shared address would reach the other process, and backends through it.
@@ -120,16 +146,15 @@
         }));
     }
 
-    private static void say(String text) {
-        System.err.println("larkworks: " + text);
-    }
-
     /** What membership tells the operator: each change of the view, and whether it is to be trusted. */
     private static final class MemberLog implements Membership.Events {
+        private static final Logger MEMBERS = LoggerFactory.getLogger("members");
+
         @Override
         public void changed(int about, MemberState from, MemberState to, long incarnation) {
-            say("members: " + about + " " + FleetMember.name(from) + " -> " + FleetMember.name(to)
-                    + " at incarnation " + incarnation);
+            MEMBERS.atInfo().addKeyValue("about", about).addKeyValue("from", FleetMember.name(from))
+                    .addKeyValue("to", FleetMember.name(to)).addKeyValue("incarnation", incarnation)
+                    .log("changed");
         }
 
         @Override
@@ -139,23 +164,23 @@
 
         @Override
         public void minority(boolean now) {
-            say(now ? "members: in a minority, this view is stale" : "members: out of the minority");
+            MEMBERS.warn(now ? "minority" : "majority");
         }
     }
 
-    private Maintenance maintenance() throws ConfigException {
+    private Maintenance maintenance() throws Unusable {
         try {
             return new Maintenance(config, loop, driver, sockets);
         } catch (IOException e) {
-            throw new ConfigException("calls about backends can't be kept in TMPDIR: " + e);
+            throw new Unusable("TMPDIR", List.of("calls about backends can't be kept: " + e));
         }
     }
 
     private static Channel await(ChannelFuture bound, InetSocketAddress address)
-            throws ConfigException, InterruptedException {
+            throws Unusable, InterruptedException {
         bound.await();
         if (!bound.isSuccess()) {
-            throw new ConfigException("can't listen at " + address + ": " + bound.cause().getMessage());
+            throw new Unusable("can't listen at " + address, List.of(bound.cause().getMessage()));
         }
         return bound.channel();
     }
@@ -183,12 +208,16 @@
     }
 
     /** Turns to the discovery that the replaced file names; all else in it waits for a restart. */
-    private synchronized void reload(String file) {
+    private synchronized void reload(String file, Map<String, String> flags) {
         try {
-            List<InetSocketAddress> named = Config.read(file, System.getenv()).discovery();
-            loop.execute(() -> discovery.moveTo(named));
-        } catch (ConfigException e) {
-            say("the old configuration is kept: " + e.getMessage());
+            Config next = Config.read(file, System.getenv(), flags);
+            List<String> keys = config.restartNeeded(next);
+            if (!keys.isEmpty()) {
+                LOG.atWarn().addKeyValue("keys", keys).log("a change that needs a restart is not taken up");
+            }
+            loop.execute(() -> discovery.moveTo(next.discovery()));
+        } catch (Unusable e) {
+            LOG.atError().addKeyValue("why", e.getMessage()).log("the old configuration is kept");
         }
     }
 
@@ -198,11 +227,11 @@
     }
 
     /** Waits until the proxy serves, and tells where. */
-    InetSocketAddress awaitServing() throws ConfigException, InterruptedException {
+    InetSocketAddress awaitServing() throws Unusable, InterruptedException {
         serving.await();
         if (!serving.isSuccess()) {
-            throw new ConfigException("can't listen at " + config.listen() + ": "
-                    + serving.cause().getMessage());
+            throw new Unusable("can't listen at " + config.listen(),
+                    List.of(serving.cause().getMessage()));
         }
         return serving.getNow();
     }
@@ -223,7 +252,7 @@
                 .orElse(0);
         try {
             if (!finished.await(longestUs / 1000 + FINISH_MS, TimeUnit.MILLISECONDS)) {
-                say("stopped with requests in flight");
+                LOG.warn("stopped with requests in flight");
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -245,6 +274,9 @@
         if (member != null) {
             loop.execute(member::leave);
         }
+        if (meters != null) {
+            meters.close();
+        }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
         try {
             if (maintenance != null) {
--- a/src/main/java/larkworks/proxy/Maintenance.java
+++ b/src/main/java/larkworks/proxy/Maintenance.java
@@ -7,6 +7,8 @@
 import java.nio.file.Path;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * What processes of this proxy have in common, as during a replacement two are alive. Keeps the operators'
@@ -15,6 +17,7 @@
  */
 final class Maintenance {
 
+    private static final Logger LOG = LoggerFactory.getLogger("proxy");
     /** What became of a call. */
     enum Result { DONE, UNKNOWN, NOT_KEPT }
 
@@ -51,7 +54,7 @@
     /** Takes up what was called before; to be run on the loop, before the first request. */
     void start() {
         if (kept == null) {
-            System.err.println("larkworks: TMPDIR is not set, calls about backends end with this process");
+            LOG.warn("TMPDIR is not set, calls about backends end with this process");
             return;
         }
         look();
@@ -77,7 +80,7 @@
             failing = false;
         } catch (IOException e) {
             if (!failing) {
-                System.err.println("larkworks: can't look for backends called out: " + e);
+                LOG.error("can't look for backends called out", e);
             }
             failing = true;
         }
@@ -96,7 +99,7 @@
                 kept.remove(backend);
             }
         } catch (IOException e) {
-            System.err.println("larkworks: a call about " + backend + " can't be kept: " + e);
+            LOG.atError().addKeyValue("backend", backend).setCause(e).log("a call can't be kept");
             return Result.NOT_KEPT;
         }
         driver.maintenance(backend, leave);
--- /dev/null
+++ b/src/main/java/larkworks/proxy/Meters.java
@@ -0,0 +1,133 @@
+package larkworks.proxy;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.ToDoubleFunction;
+import larkworks.Balancer.Outcome;
+import larkworks.Balancer.RequestClass;
+
+/**
+ * What a proxy measures, on Micrometer; its timers tell the median, the 90th and the 99th percentile from
+ * HdrHistogram. Recording is for the proxy's loop; {@link #scrape} renders on a thread of its own, so that
+ * neither waits for the other. There is one of these only where the configuration asks for metrics.
+ *
+ * <p>Names: {@code larkworks_requests_seconds{class,result}}, {@code larkworks_attempts_seconds{backend,
+ * outcome}}, {@code larkworks_retries_total}, {@code larkworks_lists_total{kind}},
+ * {@code larkworks_discovery_failures_total}, and gauges.
+ */
+final class Meters implements AutoCloseable {
+
+    /** How a request was answered. */
+    enum Result { SERVED, REFUSED, FAILED, GONE }
+
+    private static final double[] PERCENTILES = {0.5, 0.9, 0.99};
+    /** Two digits of a percentile would cost ten times the memory of one, for each backend. */
+    private static final int DIGITS = 1;
+    private static final Duration LONGEST = Duration.ofSeconds(60);
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final ExecutorService rendering = Executors.newSingleThreadExecutor(task -> {
+        Thread thread = new Thread(task, "metrics");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final List<Map<Result, Timer>> requests;
+    private final Map<String, Map<Outcome, Timer>> attempts = new HashMap<>();
+    private final Counter retries;
+    private final Counter wholeLists;
+    private final Counter changes;
+    private final Counter discoveryFailures;
+
+    Meters(List<RequestClass> classes) {
+        requests = classes.stream().map(kind -> {
+            Map<Result, Timer> timers = new EnumMap<>(Result.class);
+            for (Result result : Result.values()) {
+                timers.put(result, timer("larkworks.requests", Tags.of("class", kind.name(), "result",
+                        word(result))));
+            }
+            return timers;
+        }).toList();
+        retries = registry.counter("larkworks.retries");
+        wholeLists = registry.counter("larkworks.lists", "kind", "whole");
+        changes = registry.counter("larkworks.lists", "kind", "changes");
+        discoveryFailures = registry.counter("larkworks.discovery.failures");
+    }
+
+    private Timer timer(String name, Tags tags) {
+        return Timer.builder(name).tags(tags).publishPercentiles(PERCENTILES)
+                .percentilePrecision(DIGITS).maximumExpectedValue(LONGEST).register(registry);
+    }
+
+    private static String word(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+
+    /** A request has its answer. */
+    void answered(int requestClass, Result result, long tookUs) {
+        requests.get(requestClass).get(result).record(tookUs, TimeUnit.MICROSECONDS);
+    }
+
+    /** An attempt has ended; {@code number} counts a request's attempts from 0. */
+    void attempted(String backend, int number, Outcome outcome, long tookUs) {
+        if (number > 0) {
+            retries.increment();
+        }
+        attempts.computeIfAbsent(backend, b -> new EnumMap<>(Outcome.class))
+                .computeIfAbsent(outcome, o -> timer("larkworks.attempts",
+                        Tags.of("backend", backend, "outcome", word(o))))
+                .record(tookUs, TimeUnit.MICROSECONDS);
+    }
+
+    /** A list has come; meters of backends it no longer holds are dropped, or they would grow for ever. */
+    void listed(boolean whole, Set<String> present) {
+        (whole ? wholeLists : changes).increment();
+        attempts.entrySet().removeIf(backend -> {
+            boolean gone = !present.contains(backend.getKey());
+            if (gone) {
+                backend.getValue().values().forEach(registry::remove);
+            }
+            return gone;
+        });
+    }
+
+    /** A call to discovery has failed. */
+    void discoveryFailed() {
+        discoveryFailures.increment();
+    }
+
+    /** Has a figure told that is looked at when scraped, from another thread: it must be safe to read. */
+    <T> void gauge(String name, T of, ToDoubleFunction<T> figure, String... tags) {
+        Gauge.builder(name, of, figure).tags(tags).strongReference(true).register(registry);
+    }
+
+    MeterRegistry registry() {
+        return registry;
+    }
+
+    /** Renders all meters in Prometheus' text format 0.0.4, and hands the text over on the rendering thread. */
+    void scrape(Consumer<String> taker) {
+        rendering.execute(() -> taker.accept(registry.scrape()));
+    }
+
+    @Override
+    public void close() {
+        rendering.shutdown();
+        registry.close();
+    }
+}
--- a/src/main/java/larkworks/proxy/Sockets.java
+++ b/src/main/java/larkworks/proxy/Sockets.java
@@ -21,7 +21,8 @@
     private int mostForBackends;
     private List<BooleanSupplier> evictors = List.of();
     private Runnable freed = () -> { };
-    private int open;
+    /** Changed on the loop only; metrics read it. */
+    private volatile int open;
 
     /** Divides the limit; {@code apart} of it are for connections that are not counted here. */
     Sockets(int limit, int apart) {
@@ -80,6 +81,11 @@
         return open < most;
     }
 
+    /** Connections open now. */
+    int open() {
+        return open;
+    }
+
     void release() {
         open--;
         freed.run();
--- a/src/main/java/larkworks/proxy/Training.java
+++ b/src/main/java/larkworks/proxy/Training.java
@@ -13,8 +13,9 @@
 import java.util.Comparator;
 import java.util.Locale;
 import java.util.Map;
-import larkworks.cli.Larkworks;
+import larkworks.platform.LogSettings;
 import larkworks.platform.Logs;
+import org.slf4j.LoggerFactory;
 
 /**
  * A part of the build: starts a proxy, which warms itself up, has small and large bodies passed on to a
@@ -32,13 +33,14 @@
     /** Trains with the configuration in the named file. */
     public static void main(String[] args) throws Exception {
         Logs.quietNetty();
-        Larkworks.commandLine().parseArgs("proxy", "--config", "unread");
         Path folder = Files.createTempDirectory("training");
         try (ServerSocket backend = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
             serve(backend);
             Path file = Files.writeString(folder.resolve("config.json"), Files.readString(Path.of(args[0]))
                     .replace(BACKEND, "127.0.0.1:" + backend.getLocalPort()));
-            Main main = new Main(Config.read(file.toString(), Map.of("TMPDIR", folder.toString())));
+            Logs.start(LogSettings.defaults(), Map.of("node", "training"));
+            LoggerFactory.getLogger("proxy").atInfo().addKeyValue("training", true).log("training");
+            Main main = new Main(Config.read(file.toString(), Map.of("TMPDIR", folder.toString()), Map.of()));
             main.start();
             InetSocketAddress address = main.awaitServing();
             ask(address, "GET /read HTTP/1.1\r\nX-Call-Id: 1\r\n", 0);
--- /dev/null
+++ b/src/test/java/larkworks/proxy/MetricsTest.java
@@ -0,0 +1,59 @@
+package larkworks.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What {@code /metrics} tells, and that it is there only where it was asked for. */
+@Timeout(60)
+class MetricsTest {
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void tellsRequestsAttemptsAndListsInPrometheusText() throws Exception {
+        int admin = Bench.freePort();
+        try (Bench bench = new Bench(1)) {
+            bench.more = "\"metrics\":{\"enabled\":true},";
+            bench.environment = Map.of("GW_ADMIN_ADDR", Bench.HOST + ":" + admin, "TMPDIR", folder.toString());
+            bench.list(bench.all(7));
+            bench.start(folder, bench.all(7));
+            for (int i = 0; i < 3; i++) {
+                Bench.Client client = bench.client().look("r" + i);
+                bench.backends.get(0).next().reply(i == 2 ? 500 : 200, "");
+                client.status();
+            }
+            String text;
+            try (var in = URI.create("http://" + Bench.HOST + ":" + admin + "/metrics").toURL().openStream()) {
+                text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+            }
+            for (String line : new String[] {
+                "larkworks_requests_seconds_count{class=\"look\",result=\"served\"} 2",
+                "larkworks_attempts_seconds_count{backend=\"b0\",outcome=\"ok\"} 2",
+                "larkworks_attempts_seconds_count{backend=\"b0\",outcome=\"error\"} 1",
+                "larkworks_discovery_index 7.0",
+                "larkworks_attempts_seconds{backend=\"b0\",outcome=\"ok\",quantile=\"0.99\"}"}) {
+                assertTrue(text.contains(line), line + " is not in\n" + text);
+            }
+        }
+    }
+
+    @Test
+    void isAbsentUnlessAskedFor() throws Exception {
+        int admin = Bench.freePort();
+        try (Bench bench = new Bench(1)) {
+            bench.environment = Map.of("GW_ADMIN_ADDR", Bench.HOST + ":" + admin, "TMPDIR", folder.toString());
+            bench.list(bench.all(7));
+            bench.start(folder, bench.all(7));
+            assertEquals(404, Bench.call(admin, "GET", "/metrics", ""));
+        }
+    }
+}
--- a/src/test/java/larkworks/proxy/OutageTest.java
+++ b/src/test/java/larkworks/proxy/OutageTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import larkworks.Program;
 import larkworks.TcpRelay;
+import larkworks.platform.Addresses;
 import larkworks.registry.Caller;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
--- a/src/test/java/larkworks/registry/RegistryExperiment.java
+++ b/src/test/java/larkworks/registry/RegistryExperiment.java
@@ -22,7 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import larkworks.Program;
-import larkworks.proxy.Addresses;
+import larkworks.platform.Addresses;
 
 /**
  * Issue 10's figures, not a test: {@code java -cp target/test-classes:target/larkworks.jar
