Share server verdicts, budgets and affinity among proxies over the peers' UDP

They reach the module as events (peerVerdict, serverBudget, classBudget, affinity), and it says its verdicts and spendings as actions. Off without a shared table.

--- a/src/main/java/larkworks/Backend.java
+++ b/src/main/java/larkworks/Backend.java
@@ -18,6 +18,8 @@
     /** By then it may be used, however long its turn: a server brought back is soon to be seen to work. */
     long entryByUs = Long.MAX_VALUE;
     boolean up;
+    /** What all copies' budget leaves this one; null where there is none. */
+    Allowance budget;
     int inFlight;
     /**
      * When it was last assigned, later by a part of a round for a slow server, earlier for a quick one.
--- a/src/main/java/larkworks/Balancer.java
+++ b/src/main/java/larkworks/Balancer.java
@@ -1,5 +1,6 @@
 package larkworks;
 
+import java.util.Collection;
 import java.util.List;
 
 /**
@@ -62,6 +63,14 @@
         }
     }
 
+    /** What a copy holds against a server, as copies tell each other. */
+    enum Verdict {
+        /** A connection to it failed or broke: it is taken only if all others are busy. */
+        DEMOTED,
+        /** It takes nothing for a while. */
+        RESTS
+    }
+
     /** What discovery says of a server. */
     enum ServerStatus {
         /** It runs. */
@@ -210,6 +219,15 @@
         /** Asks discovery to report changes from now on. */
         void watchServers();
 
+        /** What this copy holds against a server until that time, or, where it is past, no more. */
+        default void verdict(String server, Verdict verdict, long untilUs) { }
+
+        /** A call went to a server for which there is a budget, or would have if that were not spent. */
+        default void serverBudget(String server, boolean spent) { }
+
+        /** A request was taken of a class for which there is a budget, or refused as that is spent. */
+        default void classBudget(int requestClass, boolean spent) { }
+
         /** A line for the operator. */
         void log(String text);
     }
@@ -223,6 +241,21 @@
      */
     void maintenance(long nowUs, String server, boolean out);
 
+    /** Another copy holds this against a server until that time, or, where it is past, no more. */
+    void peerVerdict(long nowUs, String server, Verdict verdict, long untilUs);
+
+    /**
+     * So many calls may go to a server until that time, and none after until more is said; {@code untilUs} of 0
+     * ends the budget. It may come before the server is listed.
+     */
+    void serverBudget(long nowUs, String server, long left, long untilUs);
+
+    /** So many requests of a class may be taken until that time, and none after until more is said. */
+    void classBudget(long nowUs, int requestClass, long left, long untilUs);
+
+    /** Requests of a class go first to these servers, while one of them has none of this copy's calls in flight. */
+    void affinity(long nowUs, int requestClass, Collection<String> servers);
+
     /** A call to discovery failed or its subscription broke; the list held stays in force. */
     void discoveryFailed(long nowUs);
 
--- a/src/main/java/larkworks/Logic.java
+++ b/src/main/java/larkworks/Logic.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -146,6 +147,10 @@
     private double firstTryUs;
     /** When what each tenant sent so far would have come, had it come evenly at the rate of its share. */
     private final double[] sharesAtUs;
+    /** The fleet's budgets for servers, listed or not, and by class; and the servers that classes go to first. */
+    private final Map<String, Allowance> serverBudgets = new HashMap<>();
+    private final Allowance[] classBudgets;
+    private final List<Collection<String>> affinities = new ArrayList<>();
     private double gapUs;
     private long lastSendUs = Long.MIN_VALUE;
 
@@ -160,6 +165,8 @@
         this.actions = Objects.requireNonNull(actions, "actions");
         this.random = new SplittableRandom(seed);
         this.kindUs = new double[settings.classes().size()];
+        this.classBudgets = new Allowance[settings.classes().size()];
+        settings.classes().forEach(c -> affinities.add(List.of()));
         this.sharesAtUs = new double[settings.tenants().size()];
         Arrays.fill(sharesAtUs, Long.MIN_VALUE);
         this.tally = new Tally(
@@ -247,12 +254,11 @@
         }
         boolean fresh = s == null || restarted;
         if (fresh) {
-            if (s != null) {
-                servers.remove(s);
-            }
+            servers.remove(s);
             s = new Backend(line.id());
             s.returnedAtUs = returns.getOrDefault(line.id(), 0L);
             s.turnAtUs = Long.MIN_VALUE + random.nextLong(1L << 32);
+            s.budget = serverBudgets.get(line.id());
             byId.put(s.id, s);
             servers.add(s);
         }
@@ -312,10 +318,8 @@
         Rules rules = settings.rules();
         long fromUs = Math.max(s.startedAtUs, s.returnedAtUs);
         long age = nowUs - fromUs;
-        if (fromUs <= 0 || age >= rules.coldUs()) {
-            return 1;
-        }
-        return rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age) / rules.coldUs();
+        return fromUs <= 0 || age >= rules.coldUs() ? 1
+                : rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age) / rules.coldUs();
     }
 
     /**
@@ -363,6 +367,57 @@
         advance(nowUs);
     }
 
+    // ---- what the fleet shares
+
+    /** A rest by others only demotes what just answered here; taken back ends what no failure here upholds. */
+    @Override
+    public void peerVerdict(long nowUs, String id, Verdict verdict, long untilUs) {
+        Backend s = byId.get(id);
+        if (s == null) {
+            return;
+        }
+        boolean well = s.failures == 0 && s.silences == 0;
+        if (untilUs <= nowUs) {
+            s.demotedUntilUs = well && verdict == Verdict.DEMOTED ? Long.MIN_VALUE : s.demotedUntilUs;
+        } else if (verdict == Verdict.RESTS && !(well && s.callSeenUs > nowUs - FAIL_TIMEOUT_US)
+                && mostStay(nowUs)) {
+            s.restUntilUs = Math.max(s.restUntilUs, untilUs);
+        } else {
+            s.demotedUntilUs = Math.max(s.demotedUntilUs, Math.min(untilUs, nowUs + FAIL_TIMEOUT_US));
+        }
+        advance(nowUs);
+    }
+
+    @Override
+    public void serverBudget(long nowUs, String id, long left, long untilUs) {
+        Allowance budget = untilUs == 0 ? null : new Allowance(left, untilUs);
+        serverBudgets.compute(id, (key, before) -> budget);
+        if (byId.containsKey(id)) {
+            byId.get(id).budget = budget;
+            advance(nowUs);
+        }
+    }
+
+    @Override
+    public void classBudget(long nowUs, int requestClass, long left, long untilUs) {
+        classBudgets[requestClass] = new Allowance(left, untilUs);
+    }
+
+    @Override
+    public void affinity(long nowUs, int requestClass, Collection<String> ids) {
+        affinities.set(requestClass, List.copyOf(ids));
+    }
+
+    /** Whether a request lies beyond what the fleet may take of its class, by this copy's part of that. */
+    private boolean beyondBudget(long nowUs, int requestClass) {
+        Allowance budget = classBudgets[requestClass];
+        boolean taken = budget == null || budget.take(nowUs);
+        if (budget != null) {
+            actions.classBudget(requestClass, taken);
+        }
+        return !taken;
+    }
+
     // ---- requests and their attempts
 
     @Override
@@ -384,7 +439,7 @@
             usefulUs -= kind.deadlineUs() - request.timeLeftUs();
         }
         Call call = new Call(request, kind, nowUs, nowUs + Math.min(request.timeLeftUs(), usefulUs), size);
-        if (overloaded(nowUs)) {
+        if (overloaded(nowUs) || beyondBudget(nowUs, request.requestClass())) {
             giveUp(nowUs, call);
             return;
         }
@@ -407,9 +462,7 @@
         tally.age(nowUs);
         double excess = tally.tried() - BEGUN_PER_SERVED * tally.served() - BEGUN_FREE;
         boolean refused = excess > 0 && random.nextDouble() * tally.tried() < excess;
-        if (refused) {
-            tally.countRefused();
-        }
+        tally.countRefused(refused);
         if (jam ? excess <= 0 : excess > tally.tried() / 2) {
             jam = !jam;
             actions.log(jam ? "jam: most calls are late, few are begun" : "the jam has cleared");
@@ -473,12 +526,9 @@
      * each call, as nothing else would show that they are quick again.
      */
     private boolean asks(long nowUs, Call call) {
-        if (probesEarned == 0) {
-            return false;
-        }
         boolean quick = probeUs <= call.kind.aimUs() * PROBE_SHARE_OF_AIM;
-        if (nowUs < call.probeUntilUs) {
-            return quick;
+        if (probesEarned == 0 || nowUs < call.probeUntilUs) {
+            return probesEarned > 0 && quick;
         }
         int sent = 0;
         int atOnce = reportedLoad < LIGHT_LOAD || !quick ? 1 : PROBES_AT_ONCE;
@@ -519,10 +569,11 @@
             begin(nowUs, attempt);
         }
         call.out++;
-        double late = Math.min(paceUs() * (slowness(s) / s.part - 1), MOST_LATE_US);
-        if (settings.crossZonePrice() > 0 && s.zone != settings.zone()) {
-            late += paceUs() * FAR_ROUNDS;
+        if (s.budget != null) {
+            actions.serverBudget(s.id, s.budget.take(nowUs));
         }
+        double late = Math.min(paceUs() * (slowness(s) / s.part - 1), MOST_LATE_US);
+        late += settings.crossZonePrice() > 0 && s.zone != settings.zone() ? paceUs() * FAR_ROUNDS : 0;
         s.turnAtUs = nowUs + (long) late;
         s.entryFromUs = nowUs;
         s.entryByUs = Long.MAX_VALUE;
@@ -569,7 +620,14 @@
     /** The server whose turn it is among those the call may use, or only those just found idle; or null. */
     private Backend pick(long nowUs, Call call, boolean foundIdle) {
         Backend best = null;
-        for (Backend s : subset) {
+        for (String id : affinities.get(call.request.requestClass())) {
+            Backend s = byId.get(id);
+            if (s != null && load(nowUs, s) == 0 && !demoted(nowUs, s) && usable(nowUs, call, s)
+                    && (best == null || better(nowUs, s, best))) {
+                best = s;
+            }
+        }
+        for (Backend s : best != null ? List.<Backend>of() : subset) {
             boolean idle = s.reportUntilUs > nowUs && load(nowUs, s) == 0 && !demoted(nowUs, s);
             if ((idle || !foundIdle) && usable(nowUs, call, s) && (best == null || better(nowUs, s, best))) {
                 best = s;
@@ -595,7 +653,15 @@
     }
 
     private boolean open(long nowUs, Call call, Backend s) {
-        return opensAtUs(nowUs, s) <= nowUs && mayUse(call, s);
+        return opensAtUs(nowUs, s) <= nowUs && mayUse(call, s) && affordable(nowUs, s);
+    }
+
+    private boolean affordable(long nowUs, Backend s) {
+        boolean any = s.budget == null || s.budget.any(nowUs);
+        if (!any) {
+            actions.serverBudget(s.id, false);
+        }
+        return any;
     }
 
     /** When a rest and the wait for entry are over; the wait is reckoned by what the server can do now. */
@@ -641,10 +707,7 @@
         // A server cut off from this copy holds none of its calls; it must not draw all others' overflow.
         loadA += Math.min(SILENCES, a.unanswered + a.silences);
         loadB += Math.min(SILENCES, b.unanswered + b.silences);
-        if (loadA != loadB) {
-            return loadA < loadB;
-        }
-        return a.turnAtUs < b.turnAtUs;
+        return loadA != loadB ? loadA < loadB : a.turnAtUs < b.turnAtUs;
     }
 
     /**
@@ -788,10 +851,14 @@
         if (outcome == Outcome.OK) {
             s.failures = 0;
             s.silences = 0;
+            if (s.demotedUntilUs > nowUs) {
+                actions.verdict(s.id, Verdict.DEMOTED, nowUs);
+            }
             s.demotedUntilUs = Long.MIN_VALUE;
         } else if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET) {
             s.failures++;
             s.demotedUntilUs = nowUs + FAIL_TIMEOUT_US;
+            actions.verdict(s.id, Verdict.DEMOTED, s.demotedUntilUs);
             if (s.failures >= MAX_FAILS) {
                 rest(nowUs, s, s.failures - MAX_FAILS, "takes no connections");
             }
@@ -800,6 +867,7 @@
 
     private void rest(long nowUs, Backend s, int before, String why) {
         s.restUntilUs = nowUs + (FAIL_TIMEOUT_US << Math.min(before, MOST_DOUBLINGS));
+        actions.verdict(s.id, Verdict.RESTS, s.restUntilUs);
         if (before == 0) {
             actions.log("server " + s.id + " rests: it " + why);
         }
@@ -932,9 +1000,7 @@
             }
             s.reportUntilUs = nowUs + (long) (s.reported > 0 ? s.reported * callUs * BUSY_HOLDS
                     : OVERDUE * probeUs);
-            if (s.failures == 0) {
-                s.demotedUntilUs = Long.MIN_VALUE;
-            }
+            s.demotedUntilUs = s.failures == 0 ? Long.MIN_VALUE : s.demotedUntilUs;
         } else if (outcome == Outcome.CONNECT_FAILED) {
             judge(nowUs, s, outcome);
         } else {
@@ -954,9 +1020,7 @@
 
     @Override
     public void timer(long nowUs) {
-        if (wakeAtUs <= nowUs) {
-            wakeAtUs = Long.MAX_VALUE;
-        }
+        wakeAtUs = wakeAtUs <= nowUs ? Long.MAX_VALUE : wakeAtUs;
         advance(nowUs);
     }
 
@@ -972,12 +1036,8 @@
         long next = Long.MAX_VALUE;
         for (Backend s : subset) {
             long at = opensAtUs(nowUs, s);
-            if (at <= nowUs) {
-                at = s.reportUntilUs;
-            }
-            if (at > nowUs && at < next) {
-                next = at;
-            }
+            at = at <= nowUs ? s.reportUntilUs : at;
+            next = at > nowUs ? Math.min(next, at) : next;
         }
         return Math.min(next, nowUs + (long) (callUs * BUSY_HOLDS) + settings.tickUs());
     }
@@ -988,9 +1048,7 @@
             askAtUs = Long.MAX_VALUE;
             actions.watchServers();
         }
-        if (askAtUs != Long.MAX_VALUE) {
-            wake(askAtUs);
-        }
+        wake(askAtUs);
         while (!sent.isEmpty() && (!sent.peek().out || sent.peek().overdueAtUs <= nowUs)) {
             Attempt oldest = sent.poll();
             if (oldest.out && !oldest.answering) {
--- a/src/main/java/larkworks/Tally.java
+++ b/src/main/java/larkworks/Tally.java
@@ -28,8 +28,8 @@
         call.tallied = true;
     }
 
-    void countRefused() {
-        tried++;
+    void countRefused(boolean refused) {
+        tried += refused ? 1 : 0;
     }
 
     double tried() {
--- a/src/main/java/larkworks/fleet/FleetMember.java
+++ b/src/main/java/larkworks/fleet/FleetMember.java
@@ -8,12 +8,14 @@
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import larkworks.shared.SharedState;
 
 /**
  * One process's membership, whole: the state machine, its socket and its ticks, on one event loop, which is
@@ -24,6 +26,8 @@
     private static final JsonFactory JSON = new JsonFactory();
     /** The detector is moved on so many times a period. */
     private static final int TICKS = 20;
+    /** Budgets' epochs begin no later than so much after their time. */
+    private static final long SHARED_TICK_US = 10_000;
     /** While another process of this member still holds the address, at its replacement. */
     private static final long REBIND_MS = 500;
 
@@ -33,6 +37,8 @@
     private final PeerSocket socket;
     private final Map<String, Long> drops = new TreeMap<>();
     private final Consumer<String> trouble;
+    /** Null where nothing but membership is shared. */
+    private SharedState shared;
     private Future<?> ticking;
     private boolean left;
     /** Replaced whole, for other threads to read. */
@@ -60,6 +66,36 @@
         counts = fresh;
     }
 
+    /** From now on state goes with membership, over the same socket; to be called before the start. */
+    public void carry(SharedState state) {
+        shared = state;
+    }
+
+    /** How the fleet is reached, for shared state. */
+    public SharedState.Peers peers() {
+        return new SharedState.Peers() {
+            @Override
+            public void send(int to, byte[] datagram) {
+                socket.send(List.of(new Membership.Outgoing(to, datagram)));
+            }
+
+            @Override
+            public List<Integer> present() {
+                return membership.rows().stream().filter(row -> row.id() != config.self())
+                        .filter(row -> row.state() == MemberState.ALIVE || row.state() == MemberState.SUSPECT)
+                        .map(MemberTable.Row::id).toList();
+            }
+
+            @Override
+            public long silenceMs() {
+                long now = nowUs();
+                return membership.rows().stream().filter(row -> row.id() != config.self())
+                        .filter(row -> row.state() == MemberState.ALIVE || row.state() == MemberState.SUSPECT)
+                        .mapToLong(row -> (now - row.lastHeardUs()) / 1000).max().orElse(0);
+            }
+        };
+    }
+
     /**
      * Binds the address and joins; as long as it can't be had it is tried again, since at a replacement the
      * old process of this member holds it until it leaves.
@@ -77,7 +113,8 @@
                 socket.close();
             } else {
                 membership.join();
-                long tickUs = Math.max(1_000, config.settings().probeIntervalUs() / TICKS);
+                long tickUs = Math.max(1_000, Math.min(config.settings().probeIntervalUs() / TICKS,
+                        shared == null ? Long.MAX_VALUE : SHARED_TICK_US));
                 ticking = loop.scheduleAtFixedRate(this::tick, 0, tickUs, TimeUnit.MICROSECONDS);
             }
         });
@@ -115,9 +152,16 @@
     private void tick() {
         membership.tick(nowUs());
         socket.send(membership.drain());
+        if (shared != null) {
+            shared.tick();
+        }
     }
 
     private void receive(int from, byte[] bytes, int length) {
+        if (shared != null && SharedState.isOne(bytes, length)) {
+            shared.receive(from, bytes, length);
+            return;
+        }
         membership.receive(nowUs(), from, bytes, length);
         socket.send(membership.drain());
     }
--- a/src/main/java/larkworks/proxy/Admin.java
+++ b/src/main/java/larkworks/proxy/Admin.java
@@ -27,6 +27,7 @@
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -51,20 +52,20 @@
     private final EventLoop loop;
     private final BooleanSupplier ready;
     private final Maintenance maintenance;
-    /** The member table as JSON; null where membership is off. */
-    private final Supplier<String> members;
+    /** What else is shown, as JSON, by path. */
+    private final Map<String, Supplier<String>> tables;
     /** Null where no metrics are kept. */
     private final Meters meters;
     /** Connections, the longest silent first. */
     private final Set<Channel> open = new LinkedHashSet<>();
 
-    Admin(EventLoop loop, BooleanSupplier ready, Maintenance maintenance, Supplier<String> members,
+    Admin(EventLoop loop, BooleanSupplier ready, Maintenance maintenance, Map<String, Supplier<String>> tables,
             Meters meters) {
         this.meters = meters;
         this.loop = loop;
         this.ready = ready;
         this.maintenance = maintenance;
-        this.members = members;
+        this.tables = tables;
     }
 
     ChannelFuture listen(SocketAddress address) {
@@ -106,17 +107,16 @@
         }
         String path = call.uri();
         boolean down = path.equals("/ops/backends/down");
-        boolean table = path.equals("/ops/members");
-        boolean asks = table || path.equals("/ops/readiness");
+        Supplier<String> table = tables.get(path);
+        boolean asks = table != null || path.equals("/ops/readiness");
         if (!down && !asks && !path.equals("/ops/backends/up")) {
             return new Reply(HttpResponseStatus.NOT_FOUND, "no such call");
         }
         if (!call.method().equals(asks ? HttpMethod.GET : HttpMethod.PUT)) {
             return new Reply(HttpResponseStatus.METHOD_NOT_ALLOWED, asks ? "GET only" : "PUT only");
         }
-        if (table) {
-            return members == null ? new Reply(HttpResponseStatus.NOT_FOUND, "membership is off")
-                    : new Reply(HttpResponseStatus.OK, "application/json", members.get());
+        if (table != null) {
+            return new Reply(HttpResponseStatus.OK, "application/json", table.get());
         }
         if (asks) {
             return ready.getAsBoolean() ? new Reply(HttpResponseStatus.OK, "ready")
--- a/src/main/java/larkworks/proxy/Config.java
+++ b/src/main/java/larkworks/proxy/Config.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import larkworks.Balancer.RequestClass;
 import larkworks.Balancer.Settings;
 import larkworks.SettingsCheck;
 import larkworks.adapter.SettingsReader;
@@ -16,6 +17,7 @@
 import larkworks.platform.ConfigFile.Unusable;
 import larkworks.platform.LogSettings;
 import larkworks.platform.Section;
+import larkworks.shared.SharedSettings;
 
 /**
  * What a proxy is told at its start.
@@ -34,13 +36,14 @@
  * @param admin where the operators' calls come; null where there is no such address
  * @param state the folder that outlives this process; null where none is named
  * @param fleet the other proxies of the tier; null where membership is off
+ * @param shared what is shared with them; null where nothing is
  * @param logs what is logged
  * @param metrics whether metrics are kept and told at the operators' address
  */
 public record Config(String name, InetSocketAddress listen, List<InetSocketAddress> discovery, long seed,
         int sockets, Settings settings, List<String> zones, long connectTimeoutUs, long keepAliveUs,
         boolean loadReports, Listing known, InetSocketAddress admin, Path state, FleetConfig fleet,
-        LogSettings logs, boolean metrics) {
+        SharedSettings shared, LogSettings logs, boolean metrics) {
 
     /**
      * Reads a file, in TOML or as the platform writes it. What the command line says goes before
@@ -96,13 +99,14 @@
                 ? names.stream().map(String::valueOf).toList() : List.of();
         Section bounds = params.section("limits");
         Section metrics = top.optionalSection("metrics");
+        FleetConfig fleet = FleetConfig.ofProxy(top, !Boolean.FALSE.equals(bounds.map().get("peers")));
         Config config = new Config(top.text("name", ""), listen, top.addresses("discovery", true), seed(top),
                 (int) limits.whole("sockets", null, 1, Integer.MAX_VALUE), settings, zones,
                 bounds.whole("connectTimeoutUs", null, 1, Long.MAX_VALUE),
                 bounds.whole("keepaliveUs", null, 0, Long.MAX_VALUE),
                 params.map().get("loadInfo") instanceof Map<?, ?> info && !"none".equals(info.get("how")),
                 known(top, zones), admin, state.isBlank() ? null : Path.of(state),
-                FleetConfig.ofProxy(top, !Boolean.FALSE.equals(bounds.map().get("peers"))),
+                fleet, shared(top, fleet, settings),
                 LogSettings.of(top.optionalSection("logs")), metrics.flag("enabled", false));
         if (config.metrics && admin == null) {
             top.fault("metrics.enabled", "admin_addr is wanted, where metrics are told");
@@ -110,6 +114,18 @@
         return config;
     }
 
+    private static SharedSettings shared(Section top, FleetConfig fleet, Settings settings) {
+        if (!top.has("shared") || settings == null) {
+            return null;
+        }
+        if (fleet == null) {
+            top.fault("shared", "a membership table is wanted, and settings that allow peers");
+            return null;
+        }
+        return SharedSettings.of(top.section("shared"), fleet.settings().probeIntervalUs() / 1000,
+                settings.classes().stream().map(RequestClass::name).toList());
+    }
+
     private static long seed(Section top) {
         String text = top.text("seed", null);
         try {
--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -25,10 +26,13 @@
 import larkworks.Balancer.LoadReport;
 import larkworks.Balancer.Outcome;
 import larkworks.Balancer.Request;
+import larkworks.Balancer.RequestClass;
 import larkworks.Balancer.Server;
 import larkworks.Balancer.ServerStatus;
 import larkworks.Balancer.Settings;
+import larkworks.Balancer.Verdict;
 import larkworks.Logic;
+import larkworks.shared.SharedState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -172,6 +176,8 @@
     private Runnable watch = () -> { };
     /** Null where no metrics are kept. */
     private final Meters meters;
+    /** Null where nothing is shared with other proxies. */
+    private SharedState shared;
 
     Driver(Config config, Clock clock, EventLoop loop, BackendPool pool) {
         this(config, clock, loop, pool, null);
@@ -192,6 +198,39 @@
         watch = action;
     }
 
+    /** From now on the module's verdicts and spendings are shared, and others' reach it. */
+    void share(SharedState state) {
+        shared = state;
+        loop.execute(state::start);
+    }
+
+    /** What the module is told of what others hold; see {@link SharedState.Module}. */
+    final class FromPeers implements SharedState.Module {
+        @Override
+        public void verdict(String server, Verdict verdict, long untilMs) {
+            enter(() -> balancer.peerVerdict(clock.nowUs(), server, verdict, untilMs * 1000));
+        }
+
+        @Override
+        public void serverBudget(String server, long left, long untilMs) {
+            enter(() -> balancer.serverBudget(clock.nowUs(), server, left, untilMs * 1000));
+        }
+
+        @Override
+        public void classBudget(String name, long left, long untilMs) {
+            enter(() -> balancer.classBudget(clock.nowUs(), classNumber(name), left, untilMs * 1000));
+        }
+
+        @Override
+        public void affinity(String name, Collection<String> servers) {
+            enter(() -> balancer.affinity(clock.nowUs(), classNumber(name), servers));
+        }
+    }
+
+    private int classNumber(String name) {
+        return settings.classes().stream().map(RequestClass::name).toList().indexOf(name);
+    }
+
     Clock clock() {
         return clock;
     }
@@ -219,6 +258,10 @@
     // ---- events
 
     void listChanged(ListKind kind, List<Listing.Entry> entries) {
+        if (shared != null) {
+            // Before the module sees a cold server, it must know what it may send there.
+            shared.listed(kind == ListKind.CHANGES, entries.stream().map(Listing.Entry::server).toList());
+        }
         enter(() -> {
             long now = clock.nowUs();
             List<Server> servers = new ArrayList<>(entries.size());
@@ -241,6 +284,9 @@
             balancer.serversChanged(now, kind, servers);
             // Attempts that are still connecting keep their backend, and so the time it went down.
             backends.values().removeIf(b -> b.status == ServerStatus.GONE);
+            if (shared != null) {
+                loop.execute(shared::known);
+            }
             if (meters != null) {
                 meters.listed(kind == ListKind.WHOLE, backends.keySet());
             }
@@ -665,6 +711,32 @@
         loop.execute(watch);
     }
 
+    @Override
+    public void verdict(String server, Verdict verdict, long untilUs) {
+        if (shared != null) {
+            shared.held(server, verdict, untilUs <= clock.nowUs() ? 0 : untilUs / 1000);
+        }
+    }
+
+    @Override
+    public void serverBudget(String server, boolean spent) {
+        if (spent) {
+            shared.serverSpent(server);
+        } else {
+            shared.serverWanting(server);
+        }
+    }
+
+    @Override
+    public void classBudget(int requestClass, boolean spent) {
+        String name = settings.classes().get(requestClass).name();
+        if (spent) {
+            shared.classSpent(name);
+        } else {
+            shared.classWanting(name);
+        }
+    }
+
     @Override
     public void log(String text) {
         DECISIONS.info(text);
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -9,10 +9,13 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import larkworks.Balancer.ListKind;
 import larkworks.Balancer.RequestClass;
 import larkworks.fleet.FleetMember;
@@ -20,6 +23,7 @@
 import larkworks.fleet.Membership;
 import larkworks.platform.ConfigFile.Unusable;
 import larkworks.platform.Logs;
+import larkworks.shared.SharedState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -54,6 +58,8 @@
     private Channel admin;
     /** Null where membership is off. */
     private final FleetMember member;
+    /** Null where nothing is shared with other proxies. */
+    private final SharedState shared;
     /** Null where no metrics are kept. */
     private final Meters meters;
     private final Promise<InetSocketAddress> serving = loop.newPromise();
@@ -69,6 +75,7 @@
         member = config.fleet() == null ? null
                 : new FleetMember(loop, config.fleet(), new MemberLog(),
                         text -> LOG.warn(text));
+        shared = config.shared() == null ? null : share();
         if (meters != null) {
             measure();
         }
@@ -95,6 +102,18 @@
         main.awaitServing();
     }
 
+    /** Joins the module's side, the fleet's and what is between them. */
+    private SharedState share() {
+        SharedState state = new SharedState(config.shared(), config.fleet().self(),
+                config.fleet().peers().size(),
+                config.settings().classes().stream().map(RequestClass::name).toList(),
+                config.settings().rules().coldUs() / 1000, () -> driver.clock().nowUs() / 1000,
+                new Random(config.seed()), member.peers(), driver.new FromPeers());
+        member.carry(state);
+        driver.share(state);
+        return state;
+    }
+
     /** Figures that are looked at when scraped, each safe to read from another thread. */
     private void measure() {
         meters.gauge("larkworks.discovery.index", discovery, d -> d.index());
@@ -128,7 +147,7 @@
         }).sync();
         if (shared) {
             admin = await(new Admin(loop, frontend::serves, maintenance,
-                    member == null ? null : member::table, meters).listen(config.admin()),
+                    tables(), meters).listen(config.admin()),
                     config.admin());
         }
         // Warming up at the shared address would reach the other process, and backends through it.
@@ -168,6 +187,18 @@
         }
     }
 
+    /** What the second address shows beside readiness, by path. */
+    private Map<String, Supplier<String>> tables() {
+        Map<String, Supplier<String>> tables = new HashMap<>();
+        if (member != null) {
+            tables.put("/ops/members", member::table);
+        }
+        if (shared != null) {
+            tables.put("/ops/shared", shared::json);
+        }
+        return tables;
+    }
+
     private Maintenance maintenance() throws Unusable {
         try {
             return new Maintenance(config, loop, driver, sockets);
--- a/src/test/java/larkworks/fleet/UdpRelay.java
+++ b/src/test/java/larkworks/fleet/UdpRelay.java
@@ -20,7 +20,7 @@
  * member j sends there comes to member i from j's front, so the sender check still holds. Rules change
  * while it runs: loss, delay with jitter (which reorders), duplicates, groups that can't hear each other.
  */
-final class UdpRelay implements AutoCloseable {
+public final class UdpRelay implements AutoCloseable {
 
     private final List<DatagramSocket> fronts = new ArrayList<>();
     private final List<InetSocketAddress> backs;
@@ -36,11 +36,11 @@
     private volatile int[] deaf;
     private final DatagramSocket everyone;
     /** Datagrams and bytes that members sent, before any fault. */
-    final java.util.concurrent.atomic.AtomicLong datagrams = new java.util.concurrent.atomic.AtomicLong();
-    final java.util.concurrent.atomic.AtomicLong bytes = new java.util.concurrent.atomic.AtomicLong();
+    public final java.util.concurrent.atomic.AtomicLong datagrams = new java.util.concurrent.atomic.AtomicLong();
+    public final java.util.concurrent.atomic.AtomicLong bytes = new java.util.concurrent.atomic.AtomicLong();
 
     /** @param backs where the members really listen, by id */
-    UdpRelay(List<InetSocketAddress> backs) throws SocketException {
+    public UdpRelay(List<InetSocketAddress> backs) throws SocketException {
         this.backs = List.copyOf(backs);
         group = new int[backs.size()];
         everyone = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -61,43 +61,43 @@
     }
 
     /** What {@code peers_all} names: a datagram to it goes to every member, its sender included. */
-    InetSocketAddress everyone() {
+    public InetSocketAddress everyone() {
         return (InetSocketAddress) everyone.getLocalSocketAddress();
     }
 
-    InetSocketAddress front(int member) {
+    public InetSocketAddress front(int member) {
         return (InetSocketAddress) fronts.get(member).getLocalSocketAddress();
     }
 
     /** Where a member really listens. */
-    InetSocketAddress back(int member) {
+    public InetSocketAddress back(int member) {
         return backs.get(member);
     }
 
-    void loss(double share) {
+    public void loss(double share) {
         loss = share;
     }
 
-    void duplicates(double share) {
+    public void duplicates(double share) {
         duplicates = share;
     }
 
-    void delay(int ms, int jitter) {
+    public void delay(int ms, int jitter) {
         delayMs = ms;
         jitterMs = jitter;
     }
 
     /** Members of different groups hear nothing of each other; all in group 0 heals. */
-    void partition(int... groups) {
+    public void partition(int... groups) {
         group = groups.clone();
     }
 
     /** From now on {@code to} does not hear {@code from}, which still hears it. */
-    void deafen(int from, int to) {
+    public void deafen(int from, int to) {
         deaf = new int[] {from, to};
     }
 
-    void heal() {
+    public void heal() {
         deaf = null;
         group = new int[backs.size()];
     }
