--- a/src/main/java/larkworks/Balancer.java
+++ b/src/main/java/larkworks/Balancer.java
@@ -245,15 +245,18 @@
     void peerVerdict(long nowUs, String server, Verdict verdict, long untilUs);
 
     /**
-     * So many calls may go to a server until that time, and none after until more is said; {@code untilUs} of 0
-     * ends the budget. It may come before the server is listed.
+     * So many calls may go to a server until that time, and none after until more is said; {@code untilUs}
+     * of 0 ends the budget. It may come before the server is listed.
      */
     void serverBudget(long nowUs, String server, long left, long untilUs);
 
     /** So many requests of a class may be taken until that time, and none after until more is said. */
     void classBudget(long nowUs, int requestClass, long left, long untilUs);
 
-    /** Requests of a class go first to these servers, while one of them has none of this copy's calls in flight. */
+    /**
+     * Requests of a class go first to these servers, while one of them has none of this copy's calls in
+     * flight.
+     */
     void affinity(long nowUs, int requestClass, Collection<String> servers);
 
     /** A call to discovery failed or its subscription broke; the list held stays in force. */
--- a/src/main/java/larkworks/Logic.java
+++ b/src/main/java/larkworks/Logic.java
@@ -147,7 +147,7 @@
     private double firstTryUs;
     /** When what each tenant sent so far would have come, had it come evenly at the rate of its share. */
     private final double[] sharesAtUs;
-    /** The fleet's budgets for servers, listed or not, and by class; and the servers that classes go to first. */
+    /** The fleet's budgets for servers, listed or not, and by class; the servers that classes go to first. */
     private final Map<String, Allowance> serverBudgets = new HashMap<>();
     private final Allowance[] classBudgets;
     private final List<Collection<String>> affinities = new ArrayList<>();
@@ -369,7 +369,9 @@
 
     // ---- what the fleet shares
 
-    /** A rest by others only demotes what just answered here; taken back ends what no failure here upholds. */
+    /**
+     * A rest by others only demotes what just answered here; what failed here is not taken back by others.
+     */
     @Override
     public void peerVerdict(long nowUs, String id, Verdict verdict, long untilUs) {
         Backend s = byId.get(id);
--- a/src/main/java/larkworks/cli/Larkworks.java
+++ b/src/main/java/larkworks/cli/Larkworks.java
@@ -34,9 +34,9 @@
     }
 
     /**
-     * Whether this is the platform's start of a proxy, {@code larkworks proxy} and no more: there is nothing to
-     * parse, and the JVM can't keep picocli's 180 classes in its archive, being compiled for Java 5; to load
-     * them takes each proxy 100 ms of its core (docs/ROADMAP.md).
+     * Whether this is the platform's start of a proxy, {@code larkworks proxy} and no more: there is
+     * nothing to parse, and the JVM can't keep picocli's 180 classes in its archive, being compiled for
+     * Java 5; to load them takes each proxy 100 ms of its core (docs/ROADMAP.md).
      */
     private static boolean platformStart(String[] args) {
         return args.length == 1 && args[0].equals("proxy");
--- a/src/main/java/larkworks/cli/MemberCommand.java
+++ b/src/main/java/larkworks/cli/MemberCommand.java
@@ -18,8 +18,8 @@
         + "until SIGTERM.")
 final class MemberCommand extends Common implements Callable<Integer> {
 
-    @Parameters(paramLabel = "FILE", description = "TOML or JSON with peer_listen, peers, and perhaps peers_all, "
-            + "member and membership.")
+    @Parameters(paramLabel = "FILE", description = "TOML or JSON with peer_listen, peers, and perhaps "
+            + "peers_all, member and membership.")
     private Path config;
 
     @Override
--- a/src/main/java/larkworks/fleet/Agent.java
+++ b/src/main/java/larkworks/fleet/Agent.java
@@ -8,8 +8,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * A member process alone, without a proxy: its event loop and its {@link FleetMember}. Each change of the view
- * is one line of the log.
+ * A member process alone, without a proxy: its event loop and its {@link FleetMember}. Each change of the
+ * view is one line of the log.
  */
 public final class Agent implements AutoCloseable {
 
--- a/src/main/java/larkworks/platform/Section.java
+++ b/src/main/java/larkworks/platform/Section.java
@@ -9,9 +9,10 @@
 import java.util.Set;
 
 /**
- * A table of a configuration file. Values are taken from it by key and kind; whatever is wrong is noted, with the
- * key in full and what was wanted, and reading goes on, so that one look shows all that is to be mended. Where
- * a value is wrong, some value of its kind is returned: it must not be used once there are faults.
+ * A table of a configuration file. Values are taken from it by key and kind; whatever is wrong is noted,
+ * with the key in full and what was wanted, and reading goes on, so that one look shows all that is to be
+ * mended. Where a value is wrong, some value of its kind is returned: it must not be used once there are
+ * faults.
  */
 public final class Section {
 
@@ -138,7 +139,9 @@
         }
     }
 
-    /** Addresses, each once and at least one; a single one may stand for a list where {@code alone} says so. */
+    /**
+     * Addresses, each once and at least one; a single one may stand for a list where {@code alone} says so.
+     */
     public List<InetSocketAddress> addresses(String key, boolean alone) {
         asked.add(key);
         List<?> given = values.get(key) instanceof List<?> list ? list
--- a/src/main/java/larkworks/proxy/Admin.java
+++ b/src/main/java/larkworks/proxy/Admin.java
@@ -59,8 +59,8 @@
     /** Connections, the longest silent first. */
     private final Set<Channel> open = new LinkedHashSet<>();
 
-    Admin(EventLoop loop, BooleanSupplier ready, Maintenance maintenance, Map<String, Supplier<String>> tables,
-            Meters meters) {
+    Admin(EventLoop loop, BooleanSupplier ready, Maintenance maintenance,
+            Map<String, Supplier<String>> tables, Meters meters) {
         this.meters = meters;
         this.loop = loop;
         this.ready = ready;
--- a/src/main/java/larkworks/proxy/Meters.java
+++ b/src/main/java/larkworks/proxy/Meters.java
@@ -120,7 +120,9 @@
         return registry;
     }
 
-    /** Renders all meters in Prometheus' text format 0.0.4, and hands the text over on the rendering thread. */
+    /**
+     * Renders all meters in Prometheus' text format 0.0.4, and hands the text over on the rendering thread.
+     */
     void scrape(Consumer<String> taker) {
         rendering.execute(() -> taker.accept(registry.scrape()));
     }
--- a/src/main/java/larkworks/registry/ListService.java
+++ b/src/main/java/larkworks/registry/ListService.java
@@ -133,7 +133,8 @@
     /** What changed since that version, or the whole list where that is no longer known. */
     ByteBuf since(long from) {
         return catalog.knows(from)
-                ? Unpooled.wrappedBuffer(Words.listing(catalog.index(), false, catalog.since(from))) : whole();
+                ? Unpooled.wrappedBuffer(Words.listing(catalog.index(), false, catalog.since(from)))
+                : whole();
     }
 
     /** Holds a call until there is something newer than {@code from}, for {@code waitMs} at most. */
--- a/src/main/java/larkworks/registry/Registrar.java
+++ b/src/main/java/larkworks/registry/Registrar.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 
 /**
- * Decides on writes: each call is judged against the list as it will be once all that was granted before is on
- * disk, so that two calls on their way together can't both have a name or an address. No I/O, no clock.
+ * Decides on writes: each call is judged against the list as it will be once all that was granted before is
+ * on disk, so that two calls on their way together can't both have a name or an address. No I/O, no clock.
  */
 final class Registrar {
 
--- a/src/main/java/larkworks/registry/RegistryServer.java
+++ b/src/main/java/larkworks/registry/RegistryServer.java
@@ -42,7 +42,8 @@
  * {@code index} and {@code wait} a watch. Writes, each answered {@code {"index": N}} once it is on disk:
  *
  * <pre>
- * PUT    /registry/v1/instances/NAME            {"address", "zone", "type", "group", "weight", "since_ms", "ttl_ms"}
+ * PUT    /registry/v1/instances/NAME            {"address", "zone", "type", "group", "weight",
+ *                                                "since_ms", "ttl_ms"}
  * PUT    /registry/v1/instances/NAME/status     {"status": "in_service" | "terminating" | "terminated"}
  * PUT    /registry/v1/instances/NAME/heartbeat
  * DELETE /registry/v1/instances/NAME
--- a/src/main/java/larkworks/registry/SnapshotFile.java
+++ b/src/main/java/larkworks/registry/SnapshotFile.java
@@ -8,7 +8,9 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** The catalog as a whole in one file, {@code snapshot}: a head that counts the changes, then each of them. */
+/**
+ * The catalog as a whole in one file, {@code snapshot}: a head that counts the changes, then each of them.
+ */
 final class SnapshotFile {
 
     private record Head(int format, long index, long compacted, int changes) { }
--- a/src/main/java/larkworks/shared/Affinity.java
+++ b/src/main/java/larkworks/shared/Affinity.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 
 /**
- * Which servers a key goes to first, alike at every process that holds the same list: rendezvous hashing (Thaler
- * and Ravishankar 1998). A server that comes or goes moves only the places it wins or leaves.
+ * Which servers a key goes to first, alike at every process that holds the same list: rendezvous hashing
+ * (Thaler and Ravishankar 1998). A server that comes or goes moves only the places it wins or leaves.
  */
 final class Affinity {
 
--- a/src/main/java/larkworks/shared/Budgets.java
+++ b/src/main/java/larkworks/shared/Budgets.java
@@ -12,10 +12,10 @@
 import larkworks.shared.StateMessage.Grant;
 
 /**
- * Fleet-wide budgets: what all processes together may spend on a key in any window. An epoch's tokens each belong
- * to one process by a rule all know; they move only from a process that has taken them off its own count, and end
- * with their epoch. So the sum spent never exceeds the budget, whatever is lost, late, repeated or cut off. Times
- * are Unix milliseconds by the clock that all machines read.
+ * Fleet-wide budgets: what all processes together may spend on a key in any window. An epoch's tokens each
+ * belong to one process by a rule all know; they move only from a process that has taken them off its own
+ * count, and end with their epoch. So the sum spent never exceeds the budget, whatever is lost, late,
+ * repeated or cut off. Times are Unix milliseconds by the clock that all machines read.
  */
 final class Budgets {
 
@@ -88,7 +88,10 @@
             owner.left(name, left, (epoch + 1) * epochMs);
         }
 
-        /** This process's part: an equal one, and of the rest a token each to as many, in another order each time. */
+        /**
+         * This process's part: an equal one, and of the rest a token each to as many, in another order each
+         * time.
+         */
         long own() {
             long rest = perEpoch % members;
             long place = Math.floorMod(self + Hash.of(key, epoch), (long) members);
@@ -112,7 +115,8 @@
     private long nonce;
 
     /**
-     * @param members of the fleet, present or not: a part is kept for each, as one cut off goes on spending its own
+     * @param members of the fleet, present or not: a part is kept for each, as one cut off goes on spending
+     *     its own
      * @param nowMs the start of this process, which spends nothing before the epoch after
      */
     Budgets(int self, int members, long nowMs, Random random, Owner owner) {
@@ -167,10 +171,12 @@
             return;
         }
         if (nowMs / b.epochMs != b.epoch) {
-            return;  // the next epoch is begun by the tick, as the owner can't be told from within its own call
+            // The tick begins the next epoch, as the owner can't be told from within its own call.
+            return;
         }
         b.wanting++;
-        if (b.left > 0 || !b.asked.isEmpty() || b.asks >= MOST_ASKS || nowMs / b.epochMs <= fromMs / b.epochMs) {
+        boolean asleep = nowMs / b.epochMs <= fromMs / b.epochMs;
+        if (b.left > 0 || !b.asked.isEmpty() || b.asks >= MOST_ASKS || asleep) {
             return;
         }
         b.asks++;
@@ -192,7 +198,8 @@
         }
         b.advance(nowMs);
         // Ids of members are below 2^16, so sender and nonce fit one number.
-        if ((b.epoch & 0xFFFF_FFFFL) != ask.epoch() || !b.answered.add((long) ask.sender() << 32 | ask.nonce())) {
+        if ((b.epoch & 0xFFFF_FFFFL) != ask.epoch()
+                || !b.answered.add((long) ask.sender() << 32 | ask.nonce())) {
             return;
         }
         long spare = Math.max(0, b.left - b.reserve(nowMs));
--- a/src/main/java/larkworks/shared/Hlc.java
+++ b/src/main/java/larkworks/shared/Hlc.java
@@ -1,8 +1,8 @@
 package larkworks.shared;
 
 /**
- * A hybrid logical clock (Kulkarni et al. 2014): stamps rise with every use and with every stamp heard, and stay
- * close to the wall clock. A stamp is Unix milliseconds times 2^16 plus a count.
+ * A hybrid logical clock (Kulkarni et al. 2014): stamps rise with every use and with every stamp heard, and
+ * stay close to the wall clock. A stamp is Unix milliseconds times 2^16 plus a count.
  */
 final class Hlc {
 
--- a/src/main/java/larkworks/shared/SharedState.java
+++ b/src/main/java/larkworks/shared/SharedState.java
@@ -26,8 +26,9 @@
 import larkworks.shared.StateMessage.Register;
 
 /**
- * All that one process shares: it takes what the module says of servers and spends, what other processes send,
- * and ticks, and tells the module what follows. One thread, the proxy's loop. Times are Unix milliseconds.
+ * All that one process shares: it takes what the module says of servers and spends, what other processes
+ * send, and ticks, and tells the module what follows. One thread, the proxy's loop. Times are Unix
+ * milliseconds.
  */
 public final class SharedState {
 
@@ -48,7 +49,10 @@
         /** Another process holds this against a server until then; 0 takes it back. */
         void verdict(String server, Verdict verdict, long untilMs);
 
-        /** So many requests may go to a server until then; {@code untilMs} of 0: as many as the module likes. */
+        /**
+         * So many requests may go to a server until then; {@code untilMs} of 0: as many as the module
+         * likes.
+         */
         void serverBudget(String server, long left, long untilMs);
 
         /** So many requests of a class may be taken until then. */
--- a/src/main/java/larkworks/shared/StateCodec.java
+++ b/src/main/java/larkworks/shared/StateCodec.java
@@ -12,9 +12,10 @@
 /**
  * The datagrams of shared state, at most {@link #MOST_BYTES} bytes (PROTOCOL, "Between proxies").
  *
- * <p>Layout, big-endian: version (1 byte, {@link #VERSION}; membership's are of version 1), type (1), sender id
- * (2), body, CRC32 (4) of all before it. Body of a gossip: count (1), then each register as server (8), reason
- * (1), until (6), stamp (8), origin (2). Body of an ask and of a grant: key (8), epoch (4), nonce (4), tokens (2).
+ * <p>Layout, big-endian: version (1 byte, {@link #VERSION}; membership's are of version 1), type (1),
+ * sender id (2), body, CRC32 (4) of all before it. Body of a gossip: count (1), then each register as
+ * server (8), reason (1), until (6), stamp (8), origin (2). Body of an ask and of a grant: key (8), epoch
+ * (4), nonce (4), tokens (2).
  */
 final class StateCodec {
 
--- a/src/main/java/larkworks/shared/Verdicts.java
+++ b/src/main/java/larkworks/shared/Verdicts.java
@@ -9,8 +9,9 @@
 import larkworks.shared.StateMessage.Register;
 
 /**
- * What the fleet holds against servers: a last-writer-wins register for each server and reason (Shapiro et al.
- * 2011, LWW-Register), merged in any order to the same state. Times are Unix milliseconds by the caller's clock.
+ * What the fleet holds against servers: a last-writer-wins register for each server and reason (Shapiro et
+ * al. 2011, LWW-Register), merged in any order to the same state. Times are Unix milliseconds by the
+ * caller's clock.
  */
 final class Verdicts {
 
@@ -92,7 +93,8 @@
     /**
      * Takes up to {@code most} registers to send, the least-sent first, each counted as sent once more.
      *
-     * @param eager how often each is sent in each round; those sent more often are left to a round now and then
+     * @param eager how often each is sent in each round; those sent more often are left to a round now and
+     *     then
      * @param all whether this is such a round
      */
     List<Register> take(int most, int eager, boolean all) {
--- a/src/test/java/larkworks/proxy/ProxyFleet.java
+++ b/src/test/java/larkworks/proxy/ProxyFleet.java
@@ -22,8 +22,8 @@
 import larkworks.registry.Caller;
 
 /**
- * A fleet for tests: proxy processes whose datagrams pass the {@link UdpRelay}, our list service's process, and
- * backends that answer at once and note when each request came.
+ * A fleet for tests: proxy processes whose datagrams pass the {@link UdpRelay}, our list service's process,
+ * and backends that answer at once and note when each request came.
  */
 final class ProxyFleet implements AutoCloseable {
 
