--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -44,6 +44,7 @@
 final class Driver implements Actions {
 
     private static final Logger LOG = LoggerFactory.getLogger("proxy");
+    private static final Logger SHARED = LoggerFactory.getLogger("shared");
     private static final Logger DECISIONS = LoggerFactory.getLogger("decisions");
     /** If nothing else was in time, a request is answered as failed so long before its client gives up. */
     private static final long GUARD_US = 20_000;
@@ -208,6 +209,8 @@
     final class FromPeers implements SharedState.Module {
         @Override
         public void verdict(String server, Verdict verdict, long untilMs) {
+            SHARED.atDebug().addKeyValue("server", server).addKeyValue("verdict", verdict)
+                    .addKeyValue("until_ms", untilMs).log("a peer's verdict");
             enter(() -> balancer.peerVerdict(clock.nowUs(), server, verdict, untilMs * 1000));
         }
 
@@ -714,6 +717,8 @@
     @Override
     public void verdict(String server, Verdict verdict, long untilUs) {
         if (shared != null) {
+            SHARED.atDebug().addKeyValue("server", server).addKeyValue("verdict", verdict)
+                    .addKeyValue("until_ms", untilUs / 1000).log("own verdict");
             shared.held(server, verdict, untilUs <= clock.nowUs() ? 0 : untilUs / 1000);
         }
     }
--- a/src/test/java/larkworks/proxy/SharedFleetTest.java
+++ b/src/test/java/larkworks/proxy/SharedFleetTest.java
@@ -98,22 +98,9 @@
                 caller.join(15_000);
             }
             // What was sent within a window may arrive a little closer together, on a busy machine.
-            assertTrue(most(List.copyOf(fleet.arrivals.get("cold")), windowMs - 50) <= budget,
-                    () -> most(List.copyOf(fleet.arrivals.get("cold")), windowMs - 50) + " in a window");
+            int most = SharedExperiment.most(fleet.arrivals.get("cold").stream().sorted().toList(), windowMs - 50);
+            assertTrue(most <= budget, most + " in a window");
             assertTrue(fleet.arrivals.get("warm").size() > fleet.arrivals.get("cold").size());
         }
     }
-
-    /** The most arrivals in any window. */
-    private static int most(List<Long> arrivals, long windowMs) {
-        List<Long> sorted = arrivals.stream().sorted().toList();
-        int most = 0;
-        for (int from = 0, to = 0; to < sorted.size(); to++) {
-            while (sorted.get(to) - sorted.get(from) >= windowMs) {
-                from++;
-            }
-            most = Math.max(most, to - from + 1);
-        }
-        return most;
-    }
 }
