Roll a configuration out in waves, with automatic stop, rollback and commands

A new module takes new requests, the old one ends its own, so a swap drops nothing. larkworks rollout publish, status, pause, resume, rollback.

Two faults found by the tests and mended: a target of version 0 was taken for the version refused, so nobody went back; a patch of null was read as a node and made the swap fail silently, which is now told to the list service.

Tests with four proxies under load: a configuration that has all calls refused stops in wave 1, the later waves never see it; the service killed between waves goes on to the end; rollback by command; no request lost in either.

--- a/src/main/java/larkworks/proxy/Config.java
+++ b/src/main/java/larkworks/proxy/Config.java
@@ -1,5 +1,8 @@
 package larkworks.proxy;
 
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -17,6 +20,7 @@
 import larkworks.platform.ConfigFile.Unusable;
 import larkworks.platform.LogSettings;
 import larkworks.platform.Section;
+import larkworks.rollout.Rollouts;
 import larkworks.shared.SharedSettings;
 
 /**
@@ -37,13 +41,15 @@
  * @param state the folder that outlives this process; null where none is named
  * @param fleet the other proxies of the tier; null where membership is off
  * @param shared what is shared with them; null where nothing is
+ * @param rolloutReportMs how often the list service is told how the version run does, and asked which to run;
+ *     0 where this proxy takes no part in rollouts
  * @param logs what is logged
  * @param metrics whether metrics are kept and told at the operators' address
  */
 public record Config(String name, InetSocketAddress listen, List<InetSocketAddress> discovery, long seed,
         int sockets, Settings settings, List<String> zones, long connectTimeoutUs, long keepAliveUs,
         boolean loadReports, Listing known, InetSocketAddress admin, Path state, FleetConfig fleet,
-        SharedSettings shared, LogSettings logs, boolean metrics) {
+        SharedSettings shared, long rolloutReportMs, LogSettings logs, boolean metrics) {
 
     /**
      * Reads a file, in TOML or as the platform writes it. What the command line says goes before
@@ -56,10 +62,21 @@
      */
     public static Config read(String file, Map<String, String> environment, Map<String, String> flags)
             throws Unusable {
+        return read(file, environment, flags, null);
+    }
+
+    /** Reads a file with a rollout's merge patch applied to it; null for none. */
+    static Config read(String file, Map<String, String> environment, Map<String, String> flags,
+            JsonNode patch) throws Unusable {
         if (file == null || file.isBlank()) {
             throw new Unusable("GW_CONFIG", List.of("names no file"));
         }
         Map<Object, Object> values = new LinkedHashMap<>(ConfigFile.read(Path.of(file)));
+        if (patch != null) {
+            ObjectMapper json = new ObjectMapper();
+            JsonNode patched = Rollouts.patched(json.valueToTree(values), patch);
+            values.putAll(json.convertValue(patched, new TypeReference<Map<String, Object>>() { }));
+        }
         Map.of("name", "GW_NAME", "listen", "GW_LISTEN", "discovery", "GW_DISCOVERY").forEach((key, from) -> {
             if (values.get(key) == null && !environment.getOrDefault(from, "").isBlank()) {
                 values.put(key, environment.get(from));
@@ -106,7 +123,7 @@
                 bounds.whole("keepaliveUs", null, 0, Long.MAX_VALUE),
                 params.map().get("loadInfo") instanceof Map<?, ?> info && !"none".equals(info.get("how")),
                 known(top, zones), admin, state.isBlank() ? null : Path.of(state),
-                fleet, shared(top, fleet, settings),
+                fleet, shared(top, fleet, settings), rollout(top),
                 LogSettings.of(top.optionalSection("logs")), metrics.flag("enabled", false));
         if (config.metrics && admin == null) {
             top.fault("metrics.enabled", "admin_addr is wanted, where metrics are told");
@@ -114,6 +131,17 @@
         return config;
     }
 
+    private static long rollout(Section top) {
+        if (!top.has("rollout")) {
+            return 0;
+        }
+        String name = top.text("name", "");
+        if (!name.matches("[A-Za-z0-9._-]{1,128}")) {
+            top.fault("name", "letters, digits, '.', '_' and '-' are wanted, as rollouts know proxies by it");
+        }
+        return top.section("rollout").whole("report_ms", 1_000L, 50, 60_000);
+    }
+
     private static SharedSettings shared(Section top, FleetConfig fleet, Settings settings) {
         if (!top.has("shared") || settings == null) {
             return null;
--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -19,6 +19,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import larkworks.Balancer;
 import larkworks.Balancer.Actions;
@@ -41,7 +42,7 @@
  * protocol leaves no choice in. The module must not be called from within its own actions, so whatever
  * happens while it decides is told to it afterwards.
  */
-final class Driver implements Actions {
+final class Driver {
 
     private static final Logger LOG = LoggerFactory.getLogger("proxy");
     private static final Logger SHARED = LoggerFactory.getLogger("shared");
@@ -92,6 +93,8 @@
     private static final class Backend {
         InetSocketAddress address;
         ServerStatus status;
+        /** Its line of the list, for a module that comes later; null for one not listed as up. */
+        Server listed;
         /** When this proxy was told that it drains or is gone. */
         long downSinceUs;
     }
@@ -101,6 +104,8 @@
         private final String id;
         private final Inbound inbound;
         private final Client client;
+        /** The module that decides on it, to its end. */
+        private final Deciding module;
         private long deadlineUs;
         /** When the last byte came of a body that was an upload; the greatest value until then. */
         private long uploadedUs;
@@ -111,7 +116,8 @@
         private boolean over;
         private Future<?> guard;
 
-        private Held(String id, Inbound inbound, Client client, long deadlineUs) {
+        private Held(String id, Inbound inbound, Client client, long deadlineUs, Deciding module) {
+            this.module = module;
             this.id = id;
             this.inbound = inbound;
             this.client = client;
@@ -158,12 +164,19 @@
         }
     }
 
-    private final Settings settings;
+    /** What is in force for new requests. */
+    private Settings settings;
     private final boolean loadReports;
     private final Clock clock;
     private final EventLoop loop;
     private final BackendPool pool;
-    private final Balancer balancer;
+    /** The module that takes new requests, and those before it that still hold some, oldest first. */
+    private Deciding newest;
+    private final List<Deciding> modules = new ArrayList<>();
+    private long seed;
+    /** Requests that have ended, and those of them not served, since the newest settings. */
+    private long requestsEnded;
+    private long requestsFailed;
     private final Map<String, Backend> backends = new HashMap<>();
     /** All backends that were ever listed or called out. */
     private final Set<String> known = new HashSet<>();
@@ -191,7 +204,128 @@
         this.clock = clock;
         this.loop = loop;
         this.pool = pool;
-        this.balancer = new Logic(settings, config.seed(), this);
+        this.seed = config.seed();
+        this.newest = new Deciding();
+        modules.add(newest);
+    }
+
+    /** One decision module, and what it may do. */
+    private final class Deciding implements Actions {
+        final Balancer balancer = new Logic(settings, seed, this);
+        int requests;
+
+        @Override
+        public void send(String request, String server, long timeoutUs) {
+            Driver.this.send(request, server, timeoutUs);
+        }
+
+        @Override
+        public void refuse(String request, long retryAfterUs) {
+            Driver.this.refuse(request, retryAfterUs);
+        }
+
+        @Override
+        public void fail(String request) {
+            Driver.this.fail(request);
+        }
+
+        @Override
+        public void cancel(String request, int attempt) {
+            Driver.this.cancel(request, attempt);
+        }
+
+        @Override
+        public void probe(String server) {
+            Driver.this.probe(server, this);
+        }
+
+        @Override
+        public void wakeAt(long atUs) {
+            // Never at once: a time already past would keep the loop turning in place.
+            long delayUs = Math.max(settings.tickUs(), atUs - clock.nowUs());
+            loop.schedule(() -> enter(() -> balancer.timer(Math.max(atUs, clock.nowUs()))), delayUs,
+                    TimeUnit.MICROSECONDS);
+        }
+
+        @Override
+        public void watchServers() {
+            if (this == newest) {
+                loop.execute(watch);
+            }
+        }
+
+        @Override
+        public void verdict(String server, Verdict verdict, long untilUs) {
+            if (shared != null) {
+                SHARED.atDebug().addKeyValue("server", server).addKeyValue("verdict", verdict)
+                        .addKeyValue("until_ms", untilUs / 1000).log("own verdict");
+                shared.held(server, verdict, untilUs <= clock.nowUs() ? 0 : untilUs / 1000);
+            }
+        }
+
+        @Override
+        public void serverBudget(String server, boolean spent) {
+            if (spent) {
+                shared.serverSpent(server);
+            } else {
+                shared.serverWanting(server);
+            }
+        }
+
+        @Override
+        public void classBudget(int requestClass, boolean spent) {
+            String name = settings.classes().get(requestClass).name();
+            if (spent) {
+                shared.classSpent(name);
+            } else {
+                shared.classWanting(name);
+            }
+        }
+
+        @Override
+        public void log(String text) {
+            DECISIONS.info(text);
+        }
+    }
+
+    /** Tells all modules that still hold requests. */
+    private void all(Consumer<Balancer> event) {
+        for (Deciding module : List.copyOf(modules)) {
+            event.accept(module.balancer);
+        }
+    }
+
+    /**
+     * From now on new requests are decided on by a new module with these settings; those held stay with
+     * theirs. Classes and tenants must be the ones there are, by number.
+     */
+    void adopt(Settings next) {
+        enter(() -> {
+            settings = next;
+            requestsEnded = 0;
+            requestsFailed = 0;
+            seed++;
+            newest = new Deciding();
+            modules.removeIf(module -> module.requests == 0);
+            modules.add(newest);
+            List<Server> servers = backends.values().stream().filter(b -> b.listed != null)
+                    .map(b -> b.listed).toList();
+            newest.balancer.serversChanged(clock.nowUs(), ListKind.REMEMBERED, servers);
+            out.forEach(server -> newest.balancer.maintenance(clock.nowUs(), server, true));
+            if (shared != null) {
+                loop.execute(shared::renew);
+            }
+        });
+    }
+
+    /** Requests that have ended since the newest settings came. */
+    long requestsEnded() {
+        return requestsEnded;
+    }
+
+    /** Those of them that were not served, and whose clients had not gone. */
+    long requestsFailed() {
+        return requestsFailed;
     }
 
     /** What to do when the module asks for changes to the list. */
@@ -211,22 +345,24 @@
         public void verdict(String server, Verdict verdict, long untilMs) {
             SHARED.atDebug().addKeyValue("server", server).addKeyValue("verdict", verdict)
                     .addKeyValue("until_ms", untilMs).log("a peer's verdict");
-            enter(() -> balancer.peerVerdict(clock.nowUs(), server, verdict, untilMs * 1000));
+            enter(() -> all(b -> b.peerVerdict(clock.nowUs(), server, verdict, untilMs * 1000)));
         }
 
         @Override
         public void serverBudget(String server, long left, long untilMs) {
-            enter(() -> balancer.serverBudget(clock.nowUs(), server, left, untilMs * 1000));
+            // The newest alone: two modules with the same tokens would spend them twice.
+            enter(() -> newest.balancer.serverBudget(clock.nowUs(), server, left, untilMs * 1000));
         }
 
         @Override
         public void classBudget(String name, long left, long untilMs) {
-            enter(() -> balancer.classBudget(clock.nowUs(), classNumber(name), left, untilMs * 1000));
+            enter(() -> newest.balancer.classBudget(clock.nowUs(), classNumber(name), left,
+                    untilMs * 1000));
         }
 
         @Override
         public void affinity(String name, Collection<String> servers) {
-            enter(() -> balancer.affinity(clock.nowUs(), classNumber(name), servers));
+            enter(() -> newest.balancer.affinity(clock.nowUs(), classNumber(name), servers));
         }
     }
 
@@ -275,16 +411,18 @@
                 known.add(entry.server().id());
                 Backend b = backends.computeIfAbsent(entry.server().id(), id -> new Backend());
                 b.address = entry.address() == null ? b.address : entry.address();
+                b.listed = entry.server().status() == ServerStatus.UP ? entry.server() : null;
                 down(now, b, entry.server().status());
             }
             if (kind == ListKind.WHOLE) {
                 backends.forEach((id, b) -> {
                     if (!listed.contains(id)) {
+                        b.listed = null;
                         down(now, b, ServerStatus.GONE);
                     }
                 });
             }
-            balancer.serversChanged(now, kind, servers);
+            all(balancer -> balancer.serversChanged(now, kind, servers));
             // Attempts that are still connecting keep their backend, and so the time it went down.
             backends.values().removeIf(b -> b.status == ServerStatus.GONE);
             if (shared != null) {
@@ -307,7 +445,7 @@
         if (leave) {
             endConnecting(server);
         }
-        enter(() -> balancer.maintenance(clock.nowUs(), server, leave));
+        enter(() -> all(balancer -> balancer.maintenance(clock.nowUs(), server, leave)));
     }
 
     /** Ends an attempt that is out; the module hears of it once what goes on now is over. */
@@ -345,23 +483,25 @@
         if (meters != null) {
             meters.discoveryFailed();
         }
-        enter(() -> balancer.discoveryFailed(clock.nowUs()));
+        enter(() -> newest.balancer.discoveryFailed(clock.nowUs()));
     }
 
     /** Takes a request over from a client. */
     Held request(Inbound inbound, Client client) {
         long now = clock.nowUs();
         long deadlineUs = inbound.takenAtUs() + inbound.timeLeftUs();
-        Held held = new Held(Long.toString(++lastId), inbound, client, deadlineUs);
+        Held held = new Held(Long.toString(++lastId), inbound, client, deadlineUs, newest);
         requests.put(held.id, held);
+        held.module.requests++;
         if (inbound.upload() == null) {
             armGuard(held, now);
         } else {
-            inbound.upload().onSpent(() -> enter(() -> balancer.bodySpent(clock.nowUs(), held.id)));
+            inbound.upload().onSpent(() -> enter(
+                    () -> held.module.balancer.bodySpent(clock.nowUs(), held.id)));
         }
         enter(() -> {
             try {
-                balancer.request(clock.nowUs(), new Request(held.id, inbound.requestClass(),
+                held.module.balancer.request(clock.nowUs(), new Request(held.id, inbound.requestClass(),
                         inbound.tenant(), Math.max(0, deadlineUs - clock.nowUs()), inbound.workUs(),
                         inbound.again(), held.uploading()));
             } catch (RuntimeException e) {
@@ -387,7 +527,7 @@
         armGuard(held, now);
         held.tries.stream().filter(attempt -> !attempt.ended).forEach(attempt -> limit(attempt, now,
                 held.deadlineUs));
-        enter(() -> balancer.uploaded(clock.nowUs(), held.id));
+        enter(() -> held.module.balancer.uploaded(clock.nowUs(), held.id));
     }
 
     private void limit(Try attempt, long now, long untilUs) {
@@ -402,7 +542,7 @@
             ended(held.answering, Answer.of(Outcome.CANCELLED));
         } else if (!held.over) {
             over(held, Meters.Result.GONE);
-            enter(() -> balancer.clientGone(clock.nowUs(), held.id));
+            enter(() -> held.module.balancer.clientGone(clock.nowUs(), held.id));
             forget(held);
         }
     }
@@ -416,7 +556,7 @@
             forget(held);
             if (waits) {
                 // Else the module might yet send it, and would wait for that attempt's end for ever.
-                enter(() -> balancer.clientGone(clock.nowUs(), held.id));
+                enter(() -> held.module.balancer.clientGone(clock.nowUs(), held.id));
             }
         }
     }
@@ -434,7 +574,7 @@
             attempt.timeout.cancel(false);
         }
         long now = clock.nowUs();
-        enter(() -> balancer.streamStarted(now, held.id, attempt.number, attempt.server,
+        enter(() -> held.module.balancer.streamStarted(now, held.id, attempt.number, attempt.server,
                 now - begunAtUs(attempt)));
         return held.client.begins(from, type, length);
     }
@@ -474,7 +614,7 @@
                 if (answer.improper()) {
                     withdraw(now, held);
                 }
-                balancer.outcome(now, held.id, attempt.number, attempt.server,
+                held.module.balancer.outcome(now, held.id, attempt.number, attempt.server,
                         answer.improper() ? Outcome.CANCELLED : answer.outcome(), now - begunAtUs(attempt),
                         held.over, answer.report());
             } catch (RuntimeException e) {
@@ -489,7 +629,7 @@
         if (!held.over) {
             over(held, Meters.Result.FAILED);
             held.client.failed();
-            balancer.clientGone(now, held.id);
+            held.module.balancer.clientGone(now, held.id);
         }
     }
 
@@ -500,6 +640,10 @@
 
     private void over(Held held, Meters.Result result) {
         held.over = true;
+        if (held.module == newest && result != Meters.Result.GONE) {
+            requestsEnded++;
+            requestsFailed += result == Meters.Result.SERVED ? 0 : 1;
+        }
         if (meters != null) {
             meters.answered(held.inbound.requestClass(), result,
                     Math.max(0, clock.nowUs() - held.inbound.takenAtUs()));
@@ -519,8 +663,9 @@
     }
 
     private void forget(Held held) {
-        if (held.over && held.out == 0) {
-            requests.remove(held.id);
+        if (held.over && held.out == 0 && requests.remove(held.id) != null && --held.module.requests == 0
+                && held.module != newest) {
+            modules.remove(held.module);
         }
     }
 
@@ -543,8 +688,7 @@
 
     // ---- actions
 
-    @Override
-    public void send(String request, String server, long timeoutUs) {
+    private void send(String request, String server, long timeoutUs) {
         Held held = requests.get(request);
         if (held == null) {
             return;
@@ -616,8 +760,7 @@
         return address.getHostString() + ":" + address.getPort();
     }
 
-    @Override
-    public void refuse(String request, long retryAfterUs) {
+    private void refuse(String request, long retryAfterUs) {
         Held held = requests.get(request);
         if (held != null && !held.over) {
             over(held, Meters.Result.REFUSED);
@@ -626,8 +769,7 @@
         }
     }
 
-    @Override
-    public void fail(String request) {
+    private void fail(String request) {
         Held held = requests.get(request);
         if (held != null && !held.over) {
             over(held, Meters.Result.FAILED);
@@ -636,8 +778,7 @@
         }
     }
 
-    @Override
-    public void cancel(String request, int number) {
+    private void cancel(String request, int number) {
         Held held = requests.get(request);
         if (held == null || number >= held.tries.size() || held.tries.get(number).ended) {
             return;
@@ -649,10 +790,9 @@
         ended(attempt, Answer.of(Outcome.CANCELLED));
     }
 
-    @Override
-    public void probe(String server) {
+    private void probe(String server, Deciding module) {
         Backend backend = backends.get(server);
-        Probe probe = new Probe(server, clock.nowUs());
+        Probe probe = new Probe(server, module, clock.nowUs());
         probes.add(probe);
         if (backend == null || out.contains(server)) {
             probed(probe, Answer.of(Outcome.NOT_SENT));
@@ -676,12 +816,14 @@
     /** A probe that is out. */
     private static final class Probe {
         final String server;
+        final Deciding module;
         final long sentAtUs;
         BackendPool.Exchange exchange;
         Future<?> timeout;
 
-        Probe(String server, long sentAtUs) {
+        Probe(String server, Deciding module, long sentAtUs) {
             this.server = server;
+            this.module = module;
             this.sentAtUs = sentAtUs;
         }
     }
@@ -697,53 +839,8 @@
             long now = clock.nowUs();
             LoadReport report = answer.report() != null ? answer.report()
                     : loadReports ? BackendPool.report(BackendPool.text(answer.body())) : null;
-            balancer.probeResult(now, probe.server, answer.outcome(), now - probe.sentAtUs, report);
+            probe.module.balancer.probeResult(now, probe.server, answer.outcome(), now - probe.sentAtUs,
+                    report);
         });
     }
-
-    @Override
-    public void wakeAt(long atUs) {
-        // Never at once: a time already past would keep the loop turning in place.
-        long delayUs = Math.max(settings.tickUs(), atUs - clock.nowUs());
-        loop.schedule(() -> enter(() -> balancer.timer(Math.max(atUs, clock.nowUs()))), delayUs,
-                TimeUnit.MICROSECONDS);
-    }
-
-    @Override
-    public void watchServers() {
-        loop.execute(watch);
-    }
-
-    @Override
-    public void verdict(String server, Verdict verdict, long untilUs) {
-        if (shared != null) {
-            SHARED.atDebug().addKeyValue("server", server).addKeyValue("verdict", verdict)
-                    .addKeyValue("until_ms", untilUs / 1000).log("own verdict");
-            shared.held(server, verdict, untilUs <= clock.nowUs() ? 0 : untilUs / 1000);
-        }
-    }
-
-    @Override
-    public void serverBudget(String server, boolean spent) {
-        if (spent) {
-            shared.serverSpent(server);
-        } else {
-            shared.serverWanting(server);
-        }
-    }
-
-    @Override
-    public void classBudget(int requestClass, boolean spent) {
-        String name = settings.classes().get(requestClass).name();
-        if (spent) {
-            shared.classSpent(name);
-        } else {
-            shared.classWanting(name);
-        }
-    }
-
-    @Override
-    public void log(String text) {
-        DECISIONS.info(text);
-    }
 }
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -62,6 +62,8 @@
     private final SharedState shared;
     /** Null where no metrics are kept. */
     private final Meters meters;
+    /** Null where this proxy takes no part in rollouts. */
+    private Adoption adoption;
     private final Promise<InetSocketAddress> serving = loop.newPromise();
 
     Main(Config config) {
@@ -94,6 +96,10 @@
         Logs.start(config.logs(), config.name().isEmpty() ? Map.of() : Map.of("node", config.name()));
         Main main = new Main(config);
         HangUp.handle(() -> main.reload(file, flags));
+        if (config.rolloutReportMs() > 0) {
+            main.adoption = new Adoption(config, main.loop, main.driver,
+                    patch -> Config.read(file, System.getenv(), flags, patch).settings());
+        }
         main.start();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             main.finish();
@@ -235,6 +241,9 @@
 
     private void serve(InetSocketAddress address) {
         frontend.ready();
+        if (adoption != null) {
+            adoption.start();
+        }
         serving.trySuccess(address);
     }
 
@@ -271,6 +280,9 @@
     private void finish() {
         loop.execute(() -> {
             frontend.drain();
+            if (adoption != null) {
+                adoption.close();
+            }
             if (member != null) {
                 member.leave();
             }
--- a/src/main/java/larkworks/registry/Catalog.java
+++ b/src/main/java/larkworks/registry/Catalog.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import larkworks.rollout.RolloutState;
 
 /**
  * The list as it is on disk, and what changed since any version still known: instances in the order of their
@@ -22,6 +23,7 @@
     private final TreeMap<Long, Instance> byIndex = new TreeMap<>();
     private final Deque<Long> tombstones = new ArrayDeque<>();
     private int gone;
+    private RolloutState rollout;
     private long index;
     private long compacted;
 
@@ -31,19 +33,20 @@
     }
 
     /** Everything held, to be written down whole. */
-    record Image(long index, long compacted, List<Change> changes) { }
+    record Image(long index, long compacted, List<Change> changes, RolloutState rollout) { }
 
     /** Takes up what was written down, in an empty catalog. */
     void restore(Image image) {
         image.changes().forEach(this::hold);
         index = image.index();
         compacted = image.compacted();
+        rollout = image.rollout();
     }
 
     Image image() {
         List<Change> changes = new ArrayList<>(byIndex.size());
         byIndex.forEach((at, instance) -> changes.add(new Change(at, instance)));
-        return new Image(index, compacted, changes);
+        return new Image(index, compacted, changes, rollout);
     }
 
     /**
@@ -56,6 +59,10 @@
             throw new IllegalStateException("change " + change.index() + " after version " + index);
         }
         index = change.index();
+        if (change.instance() == null) {
+            rollout = change.rollout();
+            return;
+        }
         hold(change);
         while (gone > maxTombstones) {
             long oldest = tombstones.removeFirst();
@@ -97,6 +104,11 @@
         return compacted;
     }
 
+    /** The last rollout; null where there never was one. */
+    public RolloutState rollout() {
+        return rollout;
+    }
+
     /** Instances not terminated. */
     public int size() {
         return byIndex.size() - gone;
--- a/src/main/java/larkworks/registry/ListService.java
+++ b/src/main/java/larkworks/registry/ListService.java
@@ -13,6 +13,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import larkworks.rollout.Report;
+import larkworks.rollout.RolloutState;
+import larkworks.rollout.Rollouts;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -56,6 +59,7 @@
     private final Catalog catalog;
     private final Registrar registrar;
     private final Leases leases = new Leases();
+    private final Rollouts rollouts = new Rollouts(System.currentTimeMillis());
     private Set<Watch> watches = new LinkedHashSet<>();
     private ScheduledFuture<?> looking;
     private long era;
@@ -72,8 +76,10 @@
         store.start(loop, this);
         long now = nowMs();
         catalog.live().forEach(instance -> leases.renew(instance, now));
-        looking = loop.scheduleAtFixedRate(this::endLeases, LEASE_LOOK_MS, LEASE_LOOK_MS,
-                TimeUnit.MILLISECONDS);
+        looking = loop.scheduleAtFixedRate(() -> {
+            endLeases();
+            rollOut();
+        }, LEASE_LOOK_MS, LEASE_LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Ends; watches are answered with what is known, as if their time had passed. */
@@ -172,7 +178,9 @@
                 changed = true;
                 catalog.apply(ticket.change());
                 registrar.published(ticket.change());
-                leases.renew(ticket.change().instance(), now);
+                if (ticket.change().instance() != null) {
+                    leases.renew(ticket.change().instance(), now);
+                }
             }
         }
         if (changed) {
@@ -207,6 +215,35 @@
         tickets.forEach(ticket -> ticket.answer().accept(why));
     }
 
+    /** Takes a proxy's report, and says what it should run: only what is on disk. */
+    Rollouts.Target reported(String proxy, Report report) {
+        rollouts.report(proxy, report, System.currentTimeMillis());
+        return rollouts.target(catalog.rollout(), proxy, System.currentTimeMillis());
+    }
+
+    /** The rollout as it stands on disk, and what the proxies say. */
+    Map<String, Object> rollout() {
+        Map<String, Object> rollout = new LinkedHashMap<>();
+        rollout.put("state", catalog.rollout());
+        rollout.put("reports", rollouts.reports());
+        return rollout;
+    }
+
+    private void rollOut() {
+        RolloutState now = registrar.rollout();
+        // One step at a time: the next is judged by what the proxies were told of this one.
+        if (now == null || now != catalog.rollout() || store.isBroken()) {
+            return;
+        }
+        RolloutState next = rollouts.step(now, System.currentTimeMillis());
+        if (next != now) {
+            LOG.atInfo().addKeyValue("rollout", next.plan().name()).addKeyValue("version", next.version())
+                    .addKeyValue("phase", next.phase().wire()).addKeyValue("wave", next.wave())
+                    .addKeyValue("why", next.reason()).log("rollout");
+            store.submit(new Store.Ticket(registrar.rollOut(next), failure -> { }, era));
+        }
+    }
+
     private void endLeases() {
         long now = nowMs();
         for (String name : leases.due(now, now + LEASE_AGAIN_MS)) {
--- a/src/main/java/larkworks/registry/Registrar.java
+++ b/src/main/java/larkworks/registry/Registrar.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import larkworks.rollout.RolloutState;
 
 /**
  * Decides on writes: each call is judged against the list as it will be once all that was granted before is
@@ -14,10 +15,29 @@
     private final Map<String, Change> pending = new HashMap<>();
     private final Map<String, String> claims = new HashMap<>();
     private long granted;
+    /** The rollout once all that was granted is on disk. */
+    private RolloutState rollout;
 
     Registrar(Catalog catalog) {
         this.catalog = catalog;
         granted = catalog.index();
+        rollout = catalog.rollout();
+    }
+
+    /** The rollout as it will be once all that was granted is on disk; null where there never was one. */
+    RolloutState rollout() {
+        return rollout;
+    }
+
+    /** The version that the next change makes. */
+    long nextIndex() {
+        return granted + 1;
+    }
+
+    /** Moves the rollout on. */
+    Change rollOut(RolloutState next) {
+        rollout = next;
+        return new Change(++granted, null, next);
     }
 
     /**
@@ -80,6 +100,9 @@
 
     /** A change granted here is on disk: it now stands in the catalog. */
     void published(Change change) {
+        if (change.instance() == null) {
+            return;
+        }
         String name = change.instance().name();
         if (pending.remove(name, change)) {
             claims.remove(change.instance().address(), name);
@@ -91,6 +114,7 @@
         pending.clear();
         claims.clear();
         granted = catalog.index();
+        rollout = catalog.rollout();
     }
 
     private Instance present(String name) throws Refusal {
--- a/src/main/java/larkworks/registry/RegistryServer.java
+++ b/src/main/java/larkworks/registry/RegistryServer.java
@@ -36,6 +36,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
+import java.util.function.Consumer;
+import larkworks.rollout.Conflict;
+import larkworks.rollout.Plan;
+import larkworks.rollout.Report;
+import larkworks.rollout.RolloutState;
+import larkworks.rollout.Rollouts;
 
 /**
  * The service's HTTP/1.1 side. Reads are PROTOCOL's "Discovery": {@code GET /registry/instances}, with
@@ -47,6 +54,10 @@
  * PUT    /registry/v1/instances/NAME/status     {"status": "in_service" | "terminating" | "terminated"}
  * PUT    /registry/v1/instances/NAME/heartbeat
  * DELETE /registry/v1/instances/NAME
+ * PUT    /registry/v1/rollout                   a {@link larkworks.rollout.Plan}
+ * PUT    /registry/v1/rollout/pause, /resume, /rollback
+ * PUT    /registry/v1/rollout/reports/NAME      a {@link larkworks.rollout.Report}; answered with the target
+ * GET    /registry/v1/rollout
  * GET    /registry/v1/status
  * </pre>
  *
@@ -58,9 +69,14 @@
     static final String LIST = "/registry/instances";
     private static final String API = "/registry/v1/instances/";
     private static final String STATUS = "/registry/v1/status";
+    private static final String ROLLOUT = "/registry/v1/rollout";
+    /** A rollout's state fits one record of the log, with its index. */
+    private static final int MOST_STATE = Frames.MOST - 256;
+    private static final String REPORTS = "/reports/";
+    private static final Set<String> COMMANDS = Set.of("/pause", "/resume", "/rollback");
     /** PROTOCOL: a watch waits 60 s at most. */
     private static final long MOST_WAIT_MS = 60_000;
-    private static final int MOST_BODY = 16 << 10;
+    private static final int MOST_BODY = 48 << 10;
     /** Calls read ahead on one connection; who sends more has no use for the answers. */
     private static final int MOST_AHEAD = 16;
     /** A connection without a call for so long is closed. */
@@ -143,6 +159,8 @@
             } else if (path.equals(STATUS)) {
                 want(call, HttpMethod.GET);
                 answer(context, 200, Unpooled.wrappedBuffer(Words.bytes(service.figures())), keep);
+            } else if (path.equals(ROLLOUT) || path.startsWith(ROLLOUT + "/")) {
+                rollout(context, call, path.substring(ROLLOUT.length()), keep);
             } else if (path.startsWith(API)) {
                 write(context, call, path.substring(API.length()).split("/", -1), keep);
             } else {
@@ -190,7 +208,32 @@
             }
         }
 
-        private java.util.function.Consumer<IOException> done(ChannelHandlerContext context, boolean keep) {
+        private void rollout(ChannelHandlerContext context, FullHttpRequest call, String path, boolean keep)
+                throws Refusal {
+            if (path.isEmpty() && call.method().equals(HttpMethod.GET)) {
+                answer(context, 200, Unpooled.wrappedBuffer(Words.bytes(service.rollout())), keep);
+                return;
+            }
+            want(call, HttpMethod.PUT);
+            byte[] body = ByteBufUtil.getBytes(call.content());
+            long now = System.currentTimeMillis();
+            if (path.startsWith(REPORTS) && path.length() > REPORTS.length()) {
+                Report report = checked(Words.body(body, Report.class), Report::check);
+                answer(context, 200, Unpooled.wrappedBuffer(Words.bytes(
+                        service.reported(path.substring(REPORTS.length()), report))), keep);
+            } else if (path.isEmpty()) {
+                Plan plan = checked(Words.body(body, Plan.class), Plan::check);
+                service.write(r -> step(r, () -> Rollouts.publish(r.rollout(), plan, r.nextIndex(), now)),
+                        done(context, keep));
+            } else if (COMMANDS.contains(path)) {
+                service.write(r -> step(r, () -> Rollouts.command(r.rollout(), path.substring(1), now)),
+                        done(context, keep));
+            } else {
+                throw new Refusal(404, "no such path");
+            }
+        }
+
+        private Consumer<IOException> done(ChannelHandlerContext context, boolean keep) {
             return failure -> {
                 if (failure == null) {
                     answer(context, 200, Unpooled.wrappedBuffer(
@@ -256,6 +299,33 @@
         }
     }
 
+    /** A step of the rollout that an operator asks for. */
+    private interface Step {
+        RolloutState next() throws Conflict;
+    }
+
+    private static Change step(Registrar registrar, Step step) throws Refusal {
+        try {
+            RolloutState next = step.next();
+            if (Words.bytes(next).length > MOST_STATE) {
+                throw new Refusal(413, "the plan and what came before are larger than " + MOST_STATE
+                        + " bytes");
+            }
+            return registrar.rollOut(next);
+        } catch (Conflict e) {
+            throw new Refusal(409, e.getMessage());
+        }
+    }
+
+    private static <T> T checked(T body, Consumer<T> check) throws Refusal {
+        try {
+            check.accept(body);
+            return body;
+        } catch (IllegalArgumentException e) {
+            throw new Refusal(400, e.getMessage());
+        }
+    }
+
     /** The body of a call about a status. */
     private record StatusCall(Status status) { }
 
--- a/src/main/java/larkworks/registry/SnapshotFile.java
+++ b/src/main/java/larkworks/registry/SnapshotFile.java
@@ -1,5 +1,6 @@
 package larkworks.registry;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
@@ -7,13 +8,15 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
+import larkworks.rollout.RolloutState;
 
 /**
  * The catalog as a whole in one file, {@code snapshot}: a head that counts the changes, then each of them.
  */
 final class SnapshotFile {
 
-    private record Head(int format, long index, long compacted, int changes) { }
+    @JsonInclude(JsonInclude.Include.NON_NULL)
+    private record Head(int format, long index, long compacted, int changes, RolloutState rollout) { }
 
     private static final int FORMAT = 1;
 
@@ -26,7 +29,8 @@
     /** Puts this image in place of the one before, whole or not at all. */
     void write(Catalog.Image image) throws IOException {
         List<byte[]> records = new ArrayList<>(image.changes().size() + 1);
-        records.add(Words.bytes(new Head(FORMAT, image.index(), image.compacted(), image.changes().size())));
+        records.add(Words.bytes(new Head(FORMAT, image.index(), image.compacted(),
+                image.changes().size(), image.rollout())));
         image.changes().forEach(change -> records.add(Words.bytes(change)));
         Folders.replace(file, Frames.encode(records));
     }
@@ -38,7 +42,7 @@
      */
     Catalog.Image read() throws IOException {
         if (!Files.exists(file)) {
-            return new Catalog.Image(0, 0, List.of());
+            return new Catalog.Image(0, 0, List.of(), null);
         }
         List<byte[]> records = new ArrayList<>();
         try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
@@ -55,7 +59,7 @@
             for (byte[] record : records.subList(1, records.size())) {
                 changes.add(Words.record(record, Change.class));
             }
-            return new Catalog.Image(head.index(), head.compacted(), changes);
+            return new Catalog.Image(head.index(), head.compacted(), changes, head.rollout());
         } catch (IOException e) {
             throw new IOException(file + ": " + e.getMessage(), e);
         }
--- a/src/main/java/larkworks/shared/Budgets.java
+++ b/src/main/java/larkworks/shared/Budgets.java
@@ -155,6 +155,11 @@
         List.copyOf(byName.values()).forEach(b -> b.advance(nowMs));
     }
 
+    /** Tells the owner once more what is left of each. */
+    void tellAll() {
+        byName.values().forEach(Budget::tell);
+    }
+
     /** One token of a key was spent, of those that the owner was told are left. */
     void spent(long nowMs, String name) {
         Budget b = byName.get(name);
--- a/src/main/java/larkworks/shared/SharedState.java
+++ b/src/main/java/larkworks/shared/SharedState.java
@@ -215,6 +215,14 @@
         }
     }
 
+    /** A new module has taken the place of the one before: it is told all that was told before. */
+    public void renew() {
+        budgets.tellAll();
+        preferred.forEach(module::affinity);
+        fresh.addAll(listed);
+        known();
+    }
+
     /** The module knows the list now: it is told what others said of a server before that was listed here. */
     public void known() {
         long now = nowMs.getAsLong();
--- a/src/test/java/larkworks/proxy/PlatformBench.java
+++ b/src/test/java/larkworks/proxy/PlatformBench.java
@@ -24,9 +24,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * What logs and metrics cost the proxy's loop for each request (issue 8): a debug line that is off, one that is
- * on (built and queued; the queue drops when its thread can't keep up), and a request's and an attempt's timers.
- * Run: see docs/ROADMAP.md, standard error to a file.
+ * What logs and metrics cost the proxy's loop for each request (issue 8): a debug line that is off, one
+ * that is on (built and queued; the queue drops when its thread can't keep up), and a request's and an
+ * attempt's timers. Run: see docs/ROADMAP.md, standard error to a file.
  */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
--- a/src/test/java/larkworks/proxy/ProxyFleet.java
+++ b/src/test/java/larkworks/proxy/ProxyFleet.java
@@ -28,7 +28,9 @@
 final class ProxyFleet implements AutoCloseable {
 
     final UdpRelay relay;
-    final Program service;
+    /** Where the list service listens, before and after a restart. */
+    final String discovery;
+    Program service;
     final Caller registry;
     final List<Program> proxies = new ArrayList<>();
     /** When requests came, by backend, in ms of one monotonic clock. */
@@ -49,9 +51,9 @@
             }
         }
         relay = new UdpRelay(backs);
-        service = new Program("", Map.of(), "registry", "--listen", "127.0.0.1:0", "--data",
-                folder.resolve("registry").toString());
-        String discovery = (String) service.logged("serving").get("address");
+        String discovery = "127.0.0.1:" + Bench.freePort();
+        this.discovery = discovery;
+        startService();
         registry = new Caller(discovery);
         List<String> peers = new ArrayList<>();
         for (int i = 0; i < size; i++) {
@@ -65,6 +67,7 @@
                         + ",\"peers_all\":" + quoted(relay.everyone()) + ",\"member\":" + i + "," + tables;
                 configs.add(Files.writeString(folder.resolve("proxy" + i + ".json"),
                         bench.config(ports.get(i), "null")
+                                .replace("\"name\":\"n0\"", "\"name\":\"n" + i + "\"")
                                 .replace('"' + bench.discovery.address() + '"', '"' + discovery + '"')
                                 .replace("\"coldUs\":1000000", "\"coldUs\":" + coldUs)));
                 proxies.add(null);
@@ -76,6 +79,13 @@
         return "\"" + a.getAddress().getHostAddress() + ":" + a.getPort() + "\"";
     }
 
+    /** Starts the list service, anew where it ran before. */
+    void startService() throws Exception {
+        service = new Program("", Map.of(), "registry", "--listen", discovery, "--data",
+                folder.resolve("registry").toString());
+        service.logged("serving");
+    }
+
     /** Starts proxy i, anew where it ran before. */
     void start(int i) throws Exception {
         Path own = Files.createDirectories(folder.resolve("tmp" + i));
@@ -94,6 +104,11 @@
 
     /** A backend that answers at once, listed under this name. */
     void backend(String name, long sinceMs) throws Exception {
+        backend(name, sinceMs, 0);
+    }
+
+    /** A backend that answers after so many ms. */
+    void backend(String name, long sinceMs, int afterMs) throws Exception {
         Queue<Long> came = new ConcurrentLinkedQueue<>();
         HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 256);
         server.setExecutor(Executors.newFixedThreadPool(16, task -> {
@@ -103,6 +118,11 @@
         }));
         server.createContext("/", exchange -> {
             came.add(System.nanoTime() / 1_000_000);
+            try {
+                Thread.sleep(afterMs);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
             exchange.sendResponseHeaders(200, -1);
             exchange.close();
         });
--- a/src/test/java/larkworks/proxy/SharedExperiment.java
+++ b/src/test/java/larkworks/proxy/SharedExperiment.java
@@ -11,15 +11,17 @@
 import larkworks.adapter.Json;
 
 /**
- * Issue 11's figures, not a test: {@code java -cp CLASSES larkworks.proxy.SharedExperiment N TRIALS LOSS...} times
- * verdicts: in each trial a server that is down is listed, requests go through one proxy until it holds a verdict,
- * and the time is taken until the last of the others has it, by the proxies' own logs. {@code budget SECONDS} has
- * ten proxies under constant demand send one cold server as much as its budget lets them, one of them cut off and
- * one killed on the way, and prints the most that came in any window.
+ * Issue 11's figures, not a test: {@code java -cp CLASSES larkworks.proxy.SharedExperiment N TRIALS
+ * LOSS...} times verdicts: in each trial a server that is down is listed, requests go through one proxy
+ * until it holds a verdict, and the time is taken until the last of the others has it, by the proxies' own
+ * logs. {@code budget SECONDS} has ten proxies under constant demand send one cold server as much as its
+ * budget lets them, one of them cut off and one killed on the way, and prints the most that came in any
+ * window.
  */
 public final class SharedExperiment {
 
-    private static final String MEMBERSHIP = "\"membership\":{},\"logs\":{\"levels\":{\"shared\":\"debug\"}},";
+    private static final String MEMBERSHIP =
+            "\"membership\":{},\"logs\":{\"levels\":{\"shared\":\"debug\"}},";
 
     private SharedExperiment() { }
 
@@ -68,7 +70,8 @@
         }
         double seconds = (System.nanoTime() - begun) / 1e9;
         ms.sort(null);
-        System.out.printf("n=%d loss=%.2f trials=%d to-all median=%d ms p99=%d ms max=%d ms bytes/member/s=%.0f%n",
+        System.out.printf("n=%d loss=%.2f trials=%d to-all median=%d ms p99=%d ms max=%d ms "
+                + "bytes/member/s=%.0f%n",
                 size, loss, trials, ms.get(ms.size() / 2), ms.get((int) Math.ceil(0.99 * ms.size()) - 1),
                 ms.get(ms.size() - 1), (fleet.relay.bytes.get() - bytes) / seconds / size);
     }
@@ -118,7 +121,8 @@
             pause(seconds * 400);
             over.set(true);
             List<Long> arrivals = fleet.arrivals.get("cold").stream().sorted().toList();
-            System.out.printf("budget=%d in %d ms: most in any window=%d (overshoot %d), mean=%.1f over %d s%n",
+            System.out.printf("budget=%d in %d ms: most in any window=%d (overshoot %d), mean=%.1f "
+                    + "over %d s%n",
                     requests, windowMs, most(arrivals, windowMs), Math.max(0, most(arrivals, windowMs)
                     - requests), arrivals.size() * 1.0 / seconds, seconds);
         }
--- a/src/test/java/larkworks/proxy/SharedFleetTest.java
+++ b/src/test/java/larkworks/proxy/SharedFleetTest.java
@@ -98,7 +98,8 @@
                 caller.join(15_000);
             }
             // What was sent within a window may arrive a little closer together, on a busy machine.
-            int most = SharedExperiment.most(fleet.arrivals.get("cold").stream().sorted().toList(), windowMs - 50);
+            List<Long> cold = fleet.arrivals.get("cold").stream().sorted().toList();
+            int most = SharedExperiment.most(cold, windowMs - 50);
             assertTrue(most <= budget, most + " in a window");
             assertTrue(fleet.arrivals.get("warm").size() > fleet.arrivals.get("cold").size());
         }
