--- a/src/test/java/larkworks/fleet/MembershipExperiment.java
+++ b/src/test/java/larkworks/fleet/MembershipExperiment.java
@@ -9,7 +9,8 @@
 import java.util.stream.IntStream;
 
 /**
- * Issue 9's figures, not a test: {@code java -cp target/test-classes:target/larkworks.jar
+ * Issue 9's figures, not a test (with TRIALS negative: as many partitions of 6 s into halves, and the time
+ * from each healing until all hold all alive): {@code java -cp target/test-classes:target/larkworks.jar
  * larkworks.fleet.MembershipExperiment N TRIALS LOSS}. Starts N member processes with the default figures
  * behind the relay at the given loss, kills one at random with SIGKILL in each trial, times until every
  * survivor logs it dead, starts it again and waits until all hold it alive. Prints one line of figures.
@@ -18,6 +19,25 @@
 
     private MembershipExperiment() { }
 
+    private static void heal(Fleet fleet, int n, int times, double loss) throws Exception {
+        List<Double> seconds = new ArrayList<>();
+        List<Integer> all = IntStream.range(0, n).boxed().toList();
+        int[] halves = IntStream.range(0, n).map(i -> i % 2).toArray();
+        for (int t = 0; t < times; t++) {
+            fleet.relay.partition(halves);
+            Thread.sleep(6_000);
+            fleet.relay.heal();
+            long healed = System.nanoTime();
+            if (!Fleet.await(120_000, () -> all.stream().allMatch(i -> fleet.allHold(all, i, "alive")))) {
+                throw new IllegalStateException("never healed: " + fleet.views());
+            }
+            seconds.add((System.nanoTime() - healed) / 1e9);
+        }
+        seconds.sort(null);
+        System.out.printf("n=%d loss=%.2f partitions of 6 s=%d: converged after median=%.2fs max=%.2fs%n",
+                n, loss, times, seconds.get(times / 2), seconds.get(times - 1));
+    }
+
     /** Runs the experiment; arguments as above. */
     public static void main(String[] args) throws Exception {
         int n = Integer.parseInt(args[0]);
@@ -33,6 +53,10 @@
                 throw new IllegalStateException("only " + fleet.started() + " of " + n + " started");
             }
             fleet.relay.loss(loss);
+            if (trials < 0) {
+                heal(fleet, n, -trials, loss);
+                return;
+            }
             long startNs = System.nanoTime();
             long datagrams0 = fleet.relay.datagrams.get();
             long bytes0 = fleet.relay.bytes.get();
