--- a/src/test/java/larkworks/Proxy.java
+++ b/src/test/java/larkworks/Proxy.java
@@ -187,6 +187,21 @@
         done.add("watch");
     }
 
+    @Override
+    public void verdict(String server, Balancer.Verdict verdict, long untilUs) {
+        done.add("verdict " + server + " " + verdict + (untilUs > now ? "" : " back"));
+    }
+
+    @Override
+    public void serverBudget(String server, boolean spent) {
+        done.add("budget " + server + (spent ? " spent" : " short"));
+    }
+
+    @Override
+    public void classBudget(int requestClass, boolean spent) {
+        done.add("class " + requestClass + (spent ? " spent" : " short"));
+    }
+
     @Override
     public void log(String text) {
         done.add("log " + text);
--- /dev/null
+++ b/src/test/java/larkworks/SharedEventsTest.java
@@ -0,0 +1,100 @@
+package larkworks;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import larkworks.Balancer.Outcome;
+import larkworks.Balancer.Verdict;
+import org.junit.jupiter.api.Test;
+
+/** What the module makes of what the fleet shares, and what it tells the fleet. */
+class SharedEventsTest {
+
+    private static final long MS = Proxy.MS;
+
+    private static Proxy proxy(String... servers) {
+        return new Proxy(new Proxy.Setup()).with(servers);
+    }
+
+    @Test
+    void aRestByOthersHoldsUntilItsTimeAndTheirDemotionComesLast() {
+        Proxy p = proxy("a", "b");
+        p.logic.peerVerdict(p.now, "a", Verdict.RESTS, p.now + 500 * MS);
+        assertEquals("b", p.serve());
+        assertEquals("b", p.serve());
+        p.pass(600);
+        assertEquals("a", p.serve());
+        p.logic.peerVerdict(p.now, "b", Verdict.DEMOTED, p.now + 500 * MS);
+        assertEquals("a", p.serve());
+        assertEquals("a", p.serve());
+        p.logic.peerVerdict(p.now, "b", Verdict.DEMOTED, p.now);
+        assertEquals("b", p.serve(), "taken back");
+    }
+
+    @Test
+    void aRestByOthersOnlyDemotesAServerThatAnsweredJustNow() {
+        Proxy p = proxy("a", "b");
+        String first = p.serve();
+        String second = p.serve();
+        p.logic.peerVerdict(p.now, first, Verdict.RESTS, p.now + 500 * MS);
+        assertEquals(second, p.at(p.request(Proxy.SAFE)));
+        assertEquals(first, p.at(p.request(Proxy.SAFE)), "demoted, not at rest: the other is busy");
+    }
+
+    @Test
+    void tellsWhatFailedToConnectAndThatItIsWellAgain() {
+        Proxy p = proxy("a", "b", "c");
+        String request = p.request(Proxy.SAFE);
+        String server = p.at(request);
+        p.end(request, Outcome.CONNECT_FAILED);
+        assertTrue(p.did("verdict " + server + " DEMOTED"));
+        String again = p.request(Proxy.SAFE);
+        String third = p.request(Proxy.SAFE);
+        String fourth = p.request(Proxy.SAFE);
+        for (String r : List.of(again, third, fourth)) {
+            p.end(r, Outcome.OK);
+        }
+        assertTrue(p.did("verdict " + server + " DEMOTED back"), p.done.toString());
+    }
+
+    @Test
+    void aServerWhoseBudgetIsSpentGetsNothingUntilMoreIsSaid() {
+        Proxy p = proxy("a", "b");
+        p.logic.serverBudget(p.now, "a", 1, p.now + 1_000 * MS);
+        Set<String> taken = Set.of(p.serve(), p.serve());
+        assertEquals(Set.of("a", "b"), taken);
+        assertTrue(p.did("budget a spent"));
+        assertEquals("b", p.serve());
+        assertEquals("b", p.serve());
+        assertTrue(p.did("budget a short"));
+        p.logic.serverBudget(p.now, "a", 5, p.now - 1);
+        assertEquals("b", p.serve(), "its time is over");
+        p.logic.serverBudget(p.now, "a", 0, 0);
+        assertEquals("a", p.serve(), "no budget any more");
+    }
+
+    @Test
+    void requestsBeyondTheirClassesBudgetAreRefusedAtOnce() {
+        Proxy p = proxy("a", "b");
+        p.logic.classBudget(p.now, Proxy.SAFE, 1, p.now + 1_000 * MS);
+        p.serve();
+        int refused = p.count("refuse");
+        p.request(Proxy.SAFE);
+        assertEquals(refused + 1, p.count("refuse"));
+        assertTrue(p.did("class 0 short"));
+        assertNotEquals(null, p.at(p.request(Proxy.UNSAFE)), "the other class has no budget");
+    }
+
+    @Test
+    void aClassGoesToItsServersWhileOneOfThemIsIdleHere() {
+        Proxy p = proxy("a", "b", "c", "d");
+        p.logic.affinity(p.now, Proxy.SAFE, List.of("c"));
+        assertEquals("c", p.serve());
+        assertEquals("c", p.serve());
+        assertEquals("c", p.at(p.request(Proxy.SAFE)));
+        assertNotEquals("c", p.at(p.request(Proxy.SAFE)), "it is busy with a call of this copy");
+    }
+}
--- a/src/test/java/larkworks/proxy/RolloutExperiment.java
+++ b/src/test/java/larkworks/proxy/RolloutExperiment.java
@@ -52,7 +52,8 @@
                 Program.await(60, () -> "not all back", () -> running(fleet, 0) == size);
                 double back = (System.nanoTime() - begun) / 1e9;
                 System.out.printf("n=%d bad, %s: stopped after %.2f s, all back after %.2f s, "
-                        + "not served %d of %d, lost %d%n", size, waves.equals(STAGED) ? "staged" : "at once", stopped, back,
+                        + "not served %d of %d, lost %d%n", size,
+                        waves.equals(STAGED) ? "staged" : "at once", stopped, back,
                         sum(answers) - sum(before) - (answers.getOrDefault(200, 0)
                                 - before.getOrDefault(200, 0)), sum(answers) - sum(before),
                         answers.getOrDefault(-1, 0) - before.getOrDefault(-1, 0));
