Admit new servers in stages, raised by weight, stopped by a proxy's rest

The list service holds new servers back, a share of the tier at a time, and raises their weight in steps for all proxies together; proxies report what their modules rest, and a rest on the ramp takes the stage out until an operator resumes. Steps and stops are in the log.

Test with the service's process: six new beside five, 0.4 at a time: two enter at a quarter of their weight, a rest takes both out, the stop outlives a restart, and after the resume all eleven end at full weight with never more than four on the ramp. Off by default.

--- a/src/main/java/larkworks/proxy/Adoption.java
+++ b/src/main/java/larkworks/proxy/Adoption.java
@@ -123,7 +123,7 @@
 
     private void send(Channel channel, InetSocketAddress address) throws IOException {
         byte[] body = JSON.writeValueAsBytes(new Report(version, driver.requestsEnded(),
-                driver.requestsFailed(), refused, why));
+                driver.requestsFailed(), refused, why, driver.resting()));
         var call = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.PUT,
                 "/registry/v1/rollout/reports/" + name, Unpooled.wrappedBuffer(body));
         call.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort())
--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -170,6 +170,8 @@
     private final Clock clock;
     private final EventLoop loop;
     private final BackendPool pool;
+    /** Until when servers rest, by the module's word. */
+    private final Map<String, Long> resting = new HashMap<>();
     /** The module that takes new requests, and those before it that still hold some, oldest first. */
     private Deciding newest;
     private final List<Deciding> modules = new ArrayList<>();
@@ -256,6 +258,9 @@
 
         @Override
         public void verdict(String server, Verdict verdict, long untilUs) {
+            if (verdict == Verdict.RESTS) {
+                resting.put(server, untilUs);
+            }
             if (shared != null) {
                 SHARED.atDebug().addKeyValue("server", server).addKeyValue("verdict", verdict)
                         .addKeyValue("until_ms", untilUs / 1000).log("own verdict");
@@ -318,6 +323,13 @@
         });
     }
 
+    /** Servers that the module rests now. */
+    List<String> resting() {
+        long now = clock.nowUs();
+        resting.values().removeIf(untilUs -> untilUs <= now);
+        return List.copyOf(resting.keySet());
+    }
+
     /** Requests that have ended since the newest settings came. */
     long requestsEnded() {
         return requestsEnded;
@@ -425,6 +437,7 @@
             all(balancer -> balancer.serversChanged(now, kind, servers));
             // Attempts that are still connecting keep their backend, and so the time it went down.
             backends.values().removeIf(b -> b.status == ServerStatus.GONE);
+            resting.keySet().retainAll(backends.keySet());
             if (shared != null) {
                 loop.execute(shared::known);
             }
--- a/src/main/java/larkworks/registry/ListService.java
+++ b/src/main/java/larkworks/registry/ListService.java
@@ -59,16 +59,20 @@
     private final Catalog catalog;
     private final Registrar registrar;
     private final Leases leases = new Leases();
+    private final Admission admission;
     private final Rollouts rollouts = new Rollouts(System.currentTimeMillis());
     private Set<Watch> watches = new LinkedHashSet<>();
     private ScheduledFuture<?> looking;
     private long era;
+    /** Steps of admission on their way to disk: the next are judged by what these make of the list. */
+    private int admitting;
 
-    ListService(EventLoop loop, Store store) {
+    ListService(EventLoop loop, Store store, Admission.Settings admitting) {
+        admission = new Admission(admitting);
         this.loop = loop;
         this.store = store;
         catalog = store.catalog();
-        registrar = new Registrar(catalog);
+        registrar = new Registrar(catalog, admission);
     }
 
     /** Begins; every lease has its full time, as heartbeats could not come while the service was down. */
@@ -79,6 +83,7 @@
         looking = loop.scheduleAtFixedRate(() -> {
             endLeases();
             rollOut();
+            admit();
         }, LEASE_LOOK_MS, LEASE_LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -133,13 +138,15 @@
 
     /** The whole list. */
     ByteBuf whole() {
-        return Unpooled.wrappedBuffer(Words.listing(catalog.index(), true, catalog.live()));
+        return Unpooled.wrappedBuffer(Words.listing(catalog.index(), true, catalog.live().stream()
+                .filter(Admission::listed).map(admission::shown).toList()));
     }
 
     /** What changed since that version, or the whole list where that is no longer known. */
     ByteBuf since(long from) {
         return catalog.knows(from)
-                ? Unpooled.wrappedBuffer(Words.listing(catalog.index(), false, catalog.since(from)))
+                ? Unpooled.wrappedBuffer(Words.listing(catalog.index(), false,
+                        catalog.since(from).stream().map(admission::shown).toList()))
                 : whole();
     }
 
@@ -163,6 +170,9 @@
         figures.put("instances", catalog.size());
         figures.put("leases", leases.size());
         figures.put("watches", watches.size());
+        figures.put("waiting", catalog.live().stream().filter(i -> i.ramp() == Admission.WAITS).count());
+        figures.put("ramping", catalog.live().stream().filter(i -> i.ramp() > 0).count());
+        figures.put("stopped", catalog.live().stream().filter(i -> i.ramp() == Admission.STOPPED).count());
         figures.put("log_bytes", store.logBytes());
         figures.put("fsyncs", store.syncs());
         figures.put("writable", !store.isBroken());
@@ -229,6 +239,35 @@
         return rollout;
     }
 
+    private void admit() {
+        if (!admission.on() || store.isBroken() || admitting > 0) {
+            return;
+        }
+        ramp(admission.step(catalog.live(), rollouts.resting(System.currentTimeMillis()),
+                System.currentTimeMillis()), failure -> { });
+    }
+
+    /** Lets the servers that were taken out wait anew; {@code done} as with {@link #write}. */
+    void resumeAdmission(Consumer<IOException> done) {
+        ramp(Admission.resumed(catalog.live()), failure -> { });
+        store.submit(new Store.Ticket(null, done, era));
+    }
+
+    private void ramp(List<Instance> changes, Consumer<IOException> done) {
+        for (Instance next : changes) {
+            Change change = registrar.ramp(catalog.get(next.name()), next.ramp());
+            if (change != null) {
+                LOG.atInfo().addKeyValue("instance", next.name()).addKeyValue("ramp", next.ramp())
+                        .log("admission");
+                admitting++;
+                store.submit(new Store.Ticket(change, failure -> {
+                    admitting--;
+                    done.accept(failure);
+                }, era));
+            }
+        }
+    }
+
     private void rollOut() {
         RolloutState now = registrar.rollout();
         // One step at a time: the next is judged by what the proxies were told of this one.
--- a/src/main/java/larkworks/registry/Registrar.java
+++ b/src/main/java/larkworks/registry/Registrar.java
@@ -11,6 +11,7 @@
 final class Registrar {
 
     private final Catalog catalog;
+    private final Admission admission;
     /** Granted, not on disk yet: the latest change by name, and who claims an address. */
     private final Map<String, Change> pending = new HashMap<>();
     private final Map<String, String> claims = new HashMap<>();
@@ -18,7 +19,8 @@
     /** The rollout once all that was granted is on disk. */
     private RolloutState rollout;
 
-    Registrar(Catalog catalog) {
+    Registrar(Catalog catalog, Admission admission) {
+        this.admission = admission;
         this.catalog = catalog;
         granted = catalog.index();
         rollout = catalog.rollout();
@@ -46,9 +48,9 @@
      * @return the change, null where all is as asked already
      * @throws Refusal 400 for a bad field, 409 where the name has another address or the address another name
      */
-    Change register(String name, Registration asked) throws Refusal {
-        Instance next = asked.named(name);
+    Change register(String name, Registration asked, long nowMs) throws Refusal {
         Instance held = held(name);
+        Instance next = admission.entering(asked.named(name), held, nowMs);
         if (held != null && !held.gone() && !held.address().equals(next.address())) {
             throw new Refusal(409, "name '" + name + "' is registered at " + held.address());
         }
@@ -88,6 +90,12 @@
         return held.expired() ? grant(held.with(Status.IN_SERVICE, false)) : null;
     }
 
+    /** Moves an instance's admission on; null where it has changed otherwise since. */
+    Change ramp(Instance before, int step) {
+        Instance held = held(before.name());
+        return held == null || held.gone() || held.ramp() != before.ramp() ? null : grant(held.ramped(step));
+    }
+
     /** The lease of an instance ended: it goes terminating, or terminated where it is that already. */
     Change expire(String name) {
         Instance held = held(name);
--- a/src/main/java/larkworks/registry/Registration.java
+++ b/src/main/java/larkworks/registry/Registration.java
@@ -39,7 +39,7 @@
         want(ttl == 0 || ttl >= LEAST_TTL_MS && ttl <= MOST_TTL_MS,
                 "ttl_ms: 0, or " + LEAST_TTL_MS + " to " + MOST_TTL_MS + " is wanted");
         return new Instance(name, address, text(zone), text(type), group == null ? 0 : group,
-                Status.IN_SERVICE, share, since, ttl, false);
+                Status.IN_SERVICE, share, since, ttl, false, 0);
     }
 
     private static String text(String given) {
--- a/src/main/java/larkworks/registry/Registry.java
+++ b/src/main/java/larkworks/registry/Registry.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -22,8 +23,23 @@
      * @param data the data directory, made where there is none
      * @param snapshotBytes the log's length at which a snapshot is written
      * @param maxTombstones removed instances that are remembered for those who watch from before
+     * @param admission how new servers are admitted
      */
-    public record Settings(InetSocketAddress listen, Path data, long snapshotBytes, int maxTombstones) { }
+    public record Settings(InetSocketAddress listen, Path data, long snapshotBytes, int maxTombstones,
+            Admission.Settings admission) {
+
+        /** Settings under which new servers are admitted at once. */
+        public Settings(InetSocketAddress listen, Path data, long snapshotBytes, int maxTombstones) {
+            this(listen, data, snapshotBytes, maxTombstones, 0, List.of(), 0);
+        }
+
+        /** Settings with staged admission; see {@link Admission.Settings}. */
+        public Settings(InetSocketAddress listen, Path data, long snapshotBytes, int maxTombstones,
+                double maxNewShare, List<Double> steps, long stepMs) {
+            this(listen, data, snapshotBytes, maxTombstones,
+                    new Admission.Settings(maxNewShare, steps, stepMs));
+        }
+    }
 
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -46,7 +62,7 @@
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
             throw e;
         }
-        service = new ListService(loop, store);
+        service = new ListService(loop, store, settings.admission());
         server = new RegistryServer(loop, service);
         loop.submit(service::start).sync();
         var bound = server.listen(settings.listen()).await();
--- a/src/main/java/larkworks/registry/RegistryServer.java
+++ b/src/main/java/larkworks/registry/RegistryServer.java
@@ -58,6 +58,7 @@
  * PUT    /registry/v1/rollout/pause, /resume, /rollback
  * PUT    /registry/v1/rollout/reports/NAME      a {@link larkworks.rollout.Report}; answered with the target
  * GET    /registry/v1/rollout
+ * PUT    /registry/v1/admission/resume
  * GET    /registry/v1/status
  * </pre>
  *
@@ -69,6 +70,7 @@
     static final String LIST = "/registry/instances";
     private static final String API = "/registry/v1/instances/";
     private static final String STATUS = "/registry/v1/status";
+    private static final String RESUME = "/registry/v1/admission/resume";
     private static final String ROLLOUT = "/registry/v1/rollout";
     /** A rollout's state fits one record of the log, with its index. */
     private static final int MOST_STATE = Frames.MOST - 256;
@@ -159,6 +161,9 @@
             } else if (path.equals(STATUS)) {
                 want(call, HttpMethod.GET);
                 answer(context, 200, Unpooled.wrappedBuffer(Words.bytes(service.figures())), keep);
+            } else if (path.equals(RESUME)) {
+                want(call, HttpMethod.PUT);
+                service.resumeAdmission(done(context, keep));
             } else if (path.equals(ROLLOUT) || path.startsWith(ROLLOUT + "/")) {
                 rollout(context, call, path.substring(ROLLOUT.length()), keep);
             } else if (path.startsWith(API)) {
@@ -195,7 +200,7 @@
             } else if (path.length == 1) {
                 want(call, HttpMethod.PUT);
                 Registration asked = Words.body(body, Registration.class);
-                service.write(r -> r.register(name, asked), done(context, keep));
+                service.write(r -> r.register(name, asked, System.currentTimeMillis()), done(context, keep));
             } else if (path.length == 2 && path[1].equals("status")) {
                 want(call, HttpMethod.PUT);
                 StatusCall asked = Words.body(body, StatusCall.class);
--- a/src/main/java/larkworks/rollout/Report.java
+++ b/src/main/java/larkworks/rollout/Report.java
@@ -1,5 +1,7 @@
 package larkworks.rollout;
 
+import java.util.List;
+
 /**
  * What a proxy says of the version it runs.
  *
@@ -8,8 +10,15 @@
  * @param failures of these, not served: failed or refused
  * @param refused the version that it can't take up, 0 for none
  * @param why it can't, "" for none
+ * @param resting names of the servers that its module rests; none where left out
  */
-public record Report(long version, long requests, long failures, long refused, String why) {
+public record Report(long version, long requests, long failures, long refused, String why,
+        List<String> resting) {
+
+    /** A list left out is an empty one. */
+    public Report {
+        resting = resting == null ? List.of() : List.copyOf(resting);
+    }
 
     /**
      * Checks what a proxy sent.
--- a/src/main/java/larkworks/rollout/Rollouts.java
+++ b/src/main/java/larkworks/rollout/Rollouts.java
@@ -195,6 +195,14 @@
                 .map(Map.Entry::getKey).toList();
     }
 
+    /** Servers that some proxy rests, by reports that are not old. */
+    public Set<String> resting(long nowMs) {
+        Set<String> resting = new HashSet<>();
+        heard.values().stream().filter(h -> nowMs - h.atMs <= PRESENT_MS)
+                .forEach(h -> resting.addAll(h.report.resting()));
+        return resting;
+    }
+
     /** The proxies heard, by version run: for the operator. */
     public Map<String, Report> reports() {
         Map<String, Report> reports = new java.util.TreeMap<>();
--- a/src/test/java/larkworks/registry/CatalogBench.java
+++ b/src/test/java/larkworks/registry/CatalogBench.java
@@ -33,7 +33,7 @@
         instances = new Instance[INSTANCES];
         for (int i = 0; i < INSTANCES; i++) {
             instances[i] = new Instance("s-" + i, "10.0." + i / 250 + "." + i % 250 + ":1", "a", "m2", 3,
-                    Status.IN_SERVICE, 1, 0, 0, false);
+                    Status.IN_SERVICE, 1, 0, 0, false, 0);
             catalog.apply(new Change(i + 1L, instances[i]));
         }
     }
--- a/src/test/java/larkworks/registry/RegistryExperiment.java
+++ b/src/test/java/larkworks/registry/RegistryExperiment.java
@@ -111,7 +111,8 @@
             for (int i = 1; i <= changes; i++) {
                 int one = i % (changes / 10);
                 batch.add(new Change(i, new Instance("s-" + one, "10.0." + one / 250 + "." + one % 250 + ":1",
-                        "a", "m2", 3, i % 3 == 0 ? Status.TERMINATING : Status.IN_SERVICE, 1, 0, 0, false)));
+                        "a", "m2", 3, i % 3 == 0 ? Status.TERMINATING : Status.IN_SERVICE, 1, 0, 0, false,
+                        0)));
                 if (batch.size() == 1_000) {
                     wal.append(batch);
                     batch.clear();
--- a/src/test/java/larkworks/registry/RegistryProcessTest.java
+++ b/src/test/java/larkworks/registry/RegistryProcessTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -172,6 +173,53 @@
         }
     }
 
+    private static Map<String, Double> weights(Caller caller) {
+        try {
+            Map<String, Double> weights = new TreeMap<>();
+            for (Object e : (List<?>) caller.list("").body().get("endpoints")) {
+                Map<?, ?> entry = (Map<?, ?>) e;
+                weights.put((String) entry.get("name"), ((Number) entry.get("weight")).doubleValue());
+            }
+            return weights;
+        } catch (IOException | InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    void aWaveOfNewServersIsAdmittedInStagesStopsAtARestAndGoesOnByCommand() throws Exception {
+        String[] admission = {"--max-new-share", "0.4", "--ramp-steps", "0.25,0.5", "--ramp-ms", "600"};
+        try (Program service = service("", admission)) {
+            Caller caller = caller(service);
+            for (int i = 0; i < 5; i++) {
+                caller.register("old" + i, "10.0.0.1:" + (1 + i), "");
+            }
+            for (int i = 0; i < 6; i++) {
+                caller.register("new" + i, "10.0.0.2:" + (1 + i),
+                        ",\"since_ms\":" + System.currentTimeMillis());
+            }
+            Program.await(10, () -> weights(caller).toString(), () -> figure(caller, "ramping") == 2);
+            Map<String, Double> first = weights(caller);
+            assertEquals(7, first.size(), first.toString());
+            assertEquals(2, first.entrySet().stream().filter(w -> w.getKey().startsWith("new")
+                    && w.getValue() < 1).count(), first.toString());
+            caller.call("PUT", "/registry/v1/rollout/reports/p", "{\"version\":0,\"requests\":9,"
+                    + "\"failures\":0,\"refused\":0,\"why\":\"\",\"resting\":[\"new1\"]}");
+            Program.await(10, () -> weights(caller).toString(), () -> figure(caller, "stopped") == 2);
+            assertEquals(5, weights(caller).size(), "the stage is out, and nobody follows");
+        }
+        try (Program service = service("", admission)) {
+            Caller caller = caller(service);
+            assertEquals(2, figure(caller, "stopped"), "a stop outlives the service");
+            assertEquals(200, caller.call("PUT", "/registry/v1/admission/resume", "").status());
+            Program.await(30, () -> weights(caller).toString(), () -> {
+                assertTrue(figure(caller, "ramping") <= 4, "more than the share is new");
+                Map<String, Double> now = weights(caller);
+                return now.size() == 11 && now.values().stream().allMatch(w -> w == 1);
+            });
+        }
+    }
+
     private static long figure(Caller caller, String name) {
         try {
             return ((Number) caller.call("GET", "/registry/v1/status", "").body().get(name)).longValue();
--- a/src/test/java/larkworks/registry/RegistryTest.java
+++ b/src/test/java/larkworks/registry/RegistryTest.java
@@ -103,7 +103,7 @@
 
     private static Change change(int index) {
         return new Change(index, new Instance("s" + index, "10.0.0.1:" + index, "a", "m", 1,
-                Status.IN_SERVICE, 1, 0, 0, false));
+                Status.IN_SERVICE, 1, 0, 0, false, 0));
     }
 
     private List<Long> replayed() throws IOException {
--- a/src/test/java/larkworks/rollout/RolloutsTest.java
+++ b/src/test/java/larkworks/rollout/RolloutsTest.java
@@ -33,7 +33,7 @@
     }
 
     private void report(String proxy, long version, long requests, long failures, long atMs) {
-        rollouts.report(proxy, new Report(version, requests, failures, 0, ""), atMs);
+        rollouts.report(proxy, new Report(version, requests, failures, 0, "", null), atMs);
     }
 
     @Test
@@ -68,7 +68,7 @@
                 .filter(i -> rollouts.target(state, "n" + i, START).version() == VERSION).count();
         assertTrue(chosen >= 10 && chosen <= 11, chosen + " of 20, and a");
         Rollouts anew = new Rollouts(START);
-        anew.report("n1", new Report(0, 0, 0, 0, ""), START + 1);
+        anew.report("n1", new Report(0, 0, 0, 0, "", null), START + 1);
         assertEquals(0, anew.target(state, "n1", START + 1).version(),
                 "the first to report is not all there are");
     }
@@ -85,7 +85,8 @@
         assertEquals(Phase.ROLLED_BACK, back.phase());
         assertEquals(VERSION, rollouts.target(back, "a", START + 2_000).version());
         RolloutState third = published(back, List.of(new Wave(1.0, null)));
-        rollouts.report("a", new Report(VERSION, 0, 0, third.version(), "classes differ"), START + 3_000);
+        Report refusal = new Report(VERSION, 0, 0, third.version(), "classes differ", null);
+        rollouts.report("a", refusal, START + 3_000);
         assertEquals("a can't take it up: classes differ", rollouts.step(third, START + 3_000).reason());
         assertThrows(Conflict.class, () -> Rollouts.command(back, "rollback", START));
         assertThrows(Conflict.class, () -> Rollouts.publish(third, third.plan(), 9, START));
