Share the datagrams' length, version and checksum between both codecs

The tests' served() is Bench's. Behaviour as before: PeerCodecTest, MembershipTest, SharedPropertiesTest, AdminTest and OutageTest pass.

--- a/src/main/java/larkworks/fleet/Membership.java
+++ b/src/main/java/larkworks/fleet/Membership.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import larkworks.platform.Datagram;
 
 /**
  * One member's SWIM state machine (Das et al. 2002, with Lifeguard's refinements): it takes datagrams and
@@ -137,7 +138,7 @@
         Message m;
         try {
             m = PeerCodec.decode(bytes, length);
-        } catch (PeerCodec.Malformed e) {
+        } catch (Datagram.Malformed e) {
             events.dropped(e.getMessage());
             return;
         }
--- a/src/main/java/larkworks/fleet/PeerCodec.java
+++ b/src/main/java/larkworks/fleet/PeerCodec.java
@@ -3,7 +3,8 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.zip.CRC32;
+import larkworks.platform.Datagram;
+import larkworks.platform.Datagram.Malformed;
 
 /**
  * The datagrams of membership, at most {@link #MOST_BYTES} bytes as PROTOCOL's "Between proxies" allows.
@@ -17,27 +18,17 @@
     /** The wire version; a datagram of another is dropped. */
     public static final int VERSION = 1;
     /** The peers' limit. */
-    public static final int MOST_BYTES = 256;
+    public static final int MOST_BYTES = Datagram.MOST_BYTES;
     /** Where a message names no member. */
     public static final int NO_MEMBER = 0xFFFF;
 
     private static final int HEAD = 11;
     private static final int UPDATE = 9;
-    private static final int CHECK = 4;
     /** As many updates as fit in one datagram: 26. */
-    public static final int MOST_UPDATES = (MOST_BYTES - HEAD - CHECK) / UPDATE;
+    public static final int MOST_UPDATES = (MOST_BYTES - HEAD - Datagram.CHECK) / UPDATE;
 
     private PeerCodec() { }
 
-    /** A datagram that is not one of ours; the message says why, for the count of drops. */
-    public static final class Malformed extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        Malformed(String why) {
-            super(why, null, false, false);
-        }
-    }
-
     /**
      * Writes a message.
      *
@@ -49,7 +40,7 @@
         if (updates.size() > MOST_UPDATES) {
             throw new IllegalArgumentException(updates.size() + " updates, at most " + MOST_UPDATES);
         }
-        ByteBuffer out = ByteBuffer.allocate(HEAD + UPDATE * updates.size() + CHECK);
+        ByteBuffer out = ByteBuffer.allocate(HEAD + UPDATE * updates.size() + Datagram.CHECK);
         out.put((byte) VERSION).put((byte) message.type().ordinal());
         out.putShort(id(message.sender())).putInt(u32(message.sequence())).putShort(id(message.target()));
         out.put((byte) updates.size());
@@ -57,10 +48,7 @@
             out.putShort(id(u.member())).put((byte) u.state().ordinal()).putInt(u32(u.incarnation()))
                     .putShort(id(u.origin()));
         }
-        CRC32 crc = new CRC32();
-        crc.update(out.array(), 0, out.position());
-        out.putInt((int) crc.getValue());
-        return out.array();
+        return Datagram.sealed(out);
     }
 
     /**
@@ -69,18 +57,7 @@
      * @throws Malformed where its length, version, type, state, update count or checksum is wrong
      */
     public static Message decode(byte[] bytes, int length) throws Malformed {
-        if (length < HEAD + CHECK || length > MOST_BYTES || length > bytes.length) {
-            throw new Malformed("length");
-        }
-        CRC32 crc = new CRC32();
-        crc.update(bytes, 0, length - CHECK);
-        ByteBuffer in = ByteBuffer.wrap(bytes, 0, length);
-        if (in.getInt(length - CHECK) != (int) crc.getValue()) {
-            throw new Malformed("checksum");
-        }
-        if (in.get() != VERSION) {
-            throw new Malformed("version");
-        }
+        ByteBuffer in = Datagram.open(bytes, length, HEAD + Datagram.CHECK, VERSION);
         Message.Type type = Message.Type.ofCode(in.get());
         if (type == null) {
             throw new Malformed("type");
@@ -89,7 +66,7 @@
         long sequence = Integer.toUnsignedLong(in.getInt());
         int target = Short.toUnsignedInt(in.getShort());
         int count = Byte.toUnsignedInt(in.get());
-        if (length != HEAD + UPDATE * count + CHECK) {
+        if (length != HEAD + UPDATE * count + Datagram.CHECK) {
             throw new Malformed("update count");
         }
         List<Update> updates = new ArrayList<>(count);
--- a/src/main/java/larkworks/shared/SharedState.java
+++ b/src/main/java/larkworks/shared/SharedState.java
@@ -20,6 +20,7 @@
 import larkworks.Balancer.Server;
 import larkworks.Balancer.ServerStatus;
 import larkworks.Balancer.Verdict;
+import larkworks.platform.Datagram;
 import larkworks.shared.StateMessage.Ask;
 import larkworks.shared.StateMessage.Gossip;
 import larkworks.shared.StateMessage.Grant;
@@ -265,7 +266,7 @@
         StateMessage message;
         try {
             message = StateCodec.decode(bytes, length);
-        } catch (StateCodec.Malformed e) {
+        } catch (Datagram.Malformed e) {
             drops.merge(e.getMessage(), 1L, Long::sum);
             return;
         }
--- a/src/main/java/larkworks/shared/StateCodec.java
+++ b/src/main/java/larkworks/shared/StateCodec.java
@@ -3,7 +3,8 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.zip.CRC32;
+import larkworks.platform.Datagram;
+import larkworks.platform.Datagram.Malformed;
 import larkworks.shared.StateMessage.Ask;
 import larkworks.shared.StateMessage.Gossip;
 import larkworks.shared.StateMessage.Grant;
@@ -20,9 +21,9 @@
 final class StateCodec {
 
     static final int VERSION = 2;
-    static final int MOST_BYTES = 256;
+    static final int MOST_BYTES = Datagram.MOST_BYTES;
     private static final int HEAD = 4;
-    private static final int CHECK = 4;
+    private static final int CHECK = Datagram.CHECK;
     private static final int REGISTER = 25;
     private static final int TOKENS = 18;
     /** Registers in one datagram: 9. */
@@ -33,15 +34,6 @@
 
     private StateCodec() { }
 
-    /** A datagram that is not one of ours; the message is one of a few fixed texts. */
-    static final class Malformed extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        Malformed(String why) {
-            super(why, null, false, false);
-        }
-    }
-
     static byte[] encode(StateMessage message) {
         ByteBuffer out;
         if (message instanceof Gossip gossip) {
@@ -61,10 +53,7 @@
             Grant grant = (Grant) message;
             out = tokens(GRANT, grant.sender(), grant.key(), grant.epoch(), grant.nonce(), grant.tokens());
         }
-        CRC32 crc = new CRC32();
-        crc.update(out.array(), 0, out.position());
-        out.putInt((int) crc.getValue());
-        return out.array();
+        return Datagram.sealed(out);
     }
 
     private static ByteBuffer start(int type, int sender, int body) {
@@ -83,18 +72,7 @@
      * @throws Malformed where its length, version, type, reason, count or checksum is wrong
      */
     static StateMessage decode(byte[] bytes, int length) throws Malformed {
-        if (length < HEAD + CHECK || length > MOST_BYTES || length > bytes.length) {
-            throw new Malformed("length");
-        }
-        CRC32 crc = new CRC32();
-        crc.update(bytes, 0, length - CHECK);
-        ByteBuffer in = ByteBuffer.wrap(bytes, 0, length);
-        if (in.getInt(length - CHECK) != (int) crc.getValue()) {
-            throw new Malformed("checksum");
-        }
-        if (in.get() != VERSION) {
-            throw new Malformed("version");
-        }
+        ByteBuffer in = Datagram.open(bytes, length, HEAD + CHECK, VERSION);
         int type = in.get();
         int sender = Short.toUnsignedInt(in.getShort());
         int body = length - HEAD - CHECK;
--- a/src/test/java/larkworks/fleet/MembershipTest.java
+++ b/src/test/java/larkworks/fleet/MembershipTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import larkworks.platform.Datagram;
 import org.junit.jupiter.api.Test;
 
 /** The state machine alone, on a clock of its own: merge order, refutation, suspicion's end. */
@@ -42,7 +43,7 @@
     }
 
     @Test
-    void aMemberHeldDeadRefutesWithOneMoreAndSaysSo() throws PeerCodec.Malformed {
+    void aMemberHeldDeadRefutesWithOneMoreAndSaysSo() throws Datagram.Malformed {
         Membership m = member(1, 3);
         byte[] accused = ping(0, 1, new Update(1, MemberState.DEAD, 100, 0));
         m.receive(10, 0, accused, accused.length);
@@ -54,7 +55,7 @@
     }
 
     @Test
-    void aStaleAccusationIsAnsweredWithTheCurrentIncarnation() throws PeerCodec.Malformed {
+    void aStaleAccusationIsAnsweredWithTheCurrentIncarnation() throws Datagram.Malformed {
         Membership m = member(1, 3);
         byte[] accused = ping(0, 1, new Update(1, MemberState.DEAD, 100, 0));
         m.receive(10, 0, accused, accused.length);
--- a/src/test/java/larkworks/fleet/PeerCodecBench.java
+++ b/src/test/java/larkworks/fleet/PeerCodecBench.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import larkworks.platform.Datagram;
 import org.openjdk.jmh.annotations.Benchmark;
 import org.openjdk.jmh.annotations.BenchmarkMode;
 import org.openjdk.jmh.annotations.Fork;
@@ -56,7 +57,7 @@
     }
 
     @Benchmark
-    public Message decodeFull() throws PeerCodec.Malformed {
+    public Message decodeFull() throws Datagram.Malformed {
         return PeerCodec.decode(fullBytes, fullBytes.length);
     }
 
@@ -66,7 +67,7 @@
     }
 
     @Benchmark
-    public Message decodeUsual() throws PeerCodec.Malformed {
+    public Message decodeUsual() throws Datagram.Malformed {
         return PeerCodec.decode(usualBytes, usualBytes.length);
     }
 
--- a/src/test/java/larkworks/fleet/PeerCodecTest.java
+++ b/src/test/java/larkworks/fleet/PeerCodecTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import larkworks.platform.Datagram;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -31,7 +32,7 @@
     }
 
     @Property
-    void everyMessageFitsAndReadsBackAsWritten(@ForAll("messages") Message m) throws PeerCodec.Malformed {
+    void everyMessageFitsAndReadsBackAsWritten(@ForAll("messages") Message m) throws Datagram.Malformed {
         byte[] bytes = PeerCodec.encode(m);
         assertTrue(bytes.length <= PeerCodec.MOST_BYTES, bytes.length + " bytes");
         assertEquals(m, PeerCodec.decode(bytes, bytes.length));
@@ -42,7 +43,7 @@
         byte[] bytes = PeerCodec.encode(m);
         int at = bit % (bytes.length * 8);
         bytes[at / 8] ^= (byte) (1 << (at % 8));
-        assertThrows(PeerCodec.Malformed.class, () -> PeerCodec.decode(bytes, bytes.length));
+        assertThrows(Datagram.Malformed.class, () -> PeerCodec.decode(bytes, bytes.length));
     }
 
     /** Garbage of any length from a known member's address changes no row and is counted. */
--- a/src/test/java/larkworks/proxy/AdminTest.java
+++ b/src/test/java/larkworks/proxy/AdminTest.java
@@ -63,21 +63,6 @@
         return call("PUT", "/ops/backends/" + way, "{\"who\":\"" + id + "\"}");
     }
 
-    /** The backend that serves the next request. */
-    private int served() throws Exception {
-        Bench.Client client = bench.client().look("r");
-        while (true) {
-            for (int i = 0; i < 2; i++) {
-                if (bench.backends.get(i).waiting() > 0) {
-                    bench.backends.get(i).next().reply(200, "");
-                    assertEquals(200, client.status());
-                    return i;
-                }
-            }
-            Thread.onSpinWait();
-        }
-    }
-
     @Test
     void isReadyOnlyOnceTheProxyCanServe() throws Exception {
         Thread starting = new Thread(() -> {
@@ -110,16 +95,16 @@
         assertEquals(200, backend("down", "b0"));
         assertEquals(200, backend("down", "b0"));
         for (int i = 0; i < 4; i++) {
-            assertEquals(1, served());
+            assertEquals(1, bench.served());
         }
         bench.list(Bench.list(8, false, bench.entry(0, "in_service")));
         for (int i = 0; i < 4; i++) {
-            assertEquals(1, served());
+            assertEquals(1, bench.served());
         }
         assertEquals(200, backend("up", "b0"));
         assertEquals(200, backend("up", "b0"), "it may be said again");
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
-        while (served() != 0) {
+        while (bench.served() != 0) {
             assertTrue(System.nanoTime() < until, "unused for 5 s");
         }
     }
@@ -146,7 +131,7 @@
         newAddress();
         start();
         for (int i = 0; i < 4; i++) {
-            assertEquals(1, served());
+            assertEquals(1, bench.served());
         }
         assertEquals(200, backend("up", "b0"));
     }
@@ -171,14 +156,14 @@
         start();
         int status = call(method, path, body);
         assertTrue(status >= 400 && status < 500, "status " + status);
-        assertTrue(served() + served() == 1, "both backends take turns");
+        assertTrue(bench.served() + bench.served() == 1, "both backends take turns");
     }
 
     @Test
     void saysNoToAnOversizedBody() throws Exception {
         start();
         assertEquals(413, backend("down", "b0" + " ".repeat(100_000)));
-        assertTrue(served() + served() == 1, "both backends take turns");
+        assertTrue(bench.served() + bench.served() == 1, "both backends take turns");
     }
 
     @Test
@@ -228,7 +213,7 @@
         start();
         assertEquals(200, call("GET", "/ops/readiness", ""));
         assertEquals(200, backend("down", "b0"), "without TMPDIR the call holds for this process");
-        assertEquals(1, served());
+        assertEquals(1, bench.served());
     }
 
     @Test
--- a/src/test/java/larkworks/proxy/Bench.java
+++ b/src/test/java/larkworks/proxy/Bench.java
@@ -179,6 +179,23 @@
         return new Client(socket, new BufferedInputStream(socket.getInputStream()));
     }
 
+    /** The number of the backend that serves one request, which must be served. */
+    int served() throws IOException, InterruptedException {
+        Client client = client().look("r");
+        while (true) {
+            for (int i = 0; i < backends.size(); i++) {
+                if (backends.get(i).waiting() > 0) {
+                    backends.get(i).next().reply(200, "");
+                    if (client.status() != 200) {
+                        throw new AssertionError("a request was not served");
+                    }
+                    return i;
+                }
+            }
+            Thread.sleep(1);
+        }
+    }
+
     @Override
     public void close() throws IOException {
         if (main != null) {
--- a/src/test/java/larkworks/proxy/OutageTest.java
+++ b/src/test/java/larkworks/proxy/OutageTest.java
@@ -48,7 +48,7 @@
         relay.refuse(true);
         proxy = new Program("", Map.of("GW_CONFIG", config.toString()), "proxy");
         Program.await(20, proxy.lines::toString, () -> relay.refused.get() > 2);
-        assertEquals(1, served(), "from what is known, as the service is down at the start");
+        assertEquals(1, bench.served(), "from what is known, as the service is down at the start");
         relay.refuse(false);
         awaitServedBy(0);
     }
@@ -75,26 +75,11 @@
         assertEquals(200, caller.register("b" + backend, bench.backends.get(backend).address(), "").status());
     }
 
-    /** The backend that serves one request, which must be served. */
-    private int served() throws Exception {
-        Bench.Client client = bench.client().look("r");
-        while (true) {
-            for (int i = 0; i < 2; i++) {
-                if (bench.backends.get(i).waiting() > 0) {
-                    bench.backends.get(i).next().reply(200, "");
-                    assertEquals(200, client.status());
-                    return i;
-                }
-            }
-            Thread.sleep(1);
-        }
-    }
-
     private void awaitServedBy(int backend) throws Exception {
         int[] row = {0};
         Program.await(15, proxy.lines::toString, () -> {
             try {
-                row[0] = served() == backend ? row[0] + 1 : 0;
+                row[0] = bench.served() == backend ? row[0] + 1 : 0;
                 return row[0] == 5;
             } catch (Exception e) {
                 throw new IllegalStateException(e);
@@ -110,12 +95,12 @@
         int before = relay.refused.get();
         // Several attempts with growing pauses: the outage lasts well past the longest.
         Program.await(30, proxy.lines::toString, () -> relay.refused.get() >= before + 7);
-        assertEquals(0, served());
+        assertEquals(0, bench.served());
         service("data");
         relay.target(address());
         caller.status("b0", "terminating");
         register(1);
-        assertEquals(0, served(), "not told yet");
+        assertEquals(0, bench.served(), "not told yet");
         relay.refuse(false);
         awaitServedBy(1);
     }
@@ -142,7 +127,7 @@
         relay.refuse(false);
         awaitServedBy(1);
         for (int i = 0; i < 10; i++) {
-            assertEquals(1, served(), "b0 stands in no list of this service");
+            assertEquals(1, bench.served(), "b0 stands in no list of this service");
         }
         assertTrue(proxy.lines.toString().contains("do not follow the list held"), proxy.lines::toString);
     }
--- a/src/test/java/larkworks/shared/SharedPropertiesTest.java
+++ b/src/test/java/larkworks/shared/SharedPropertiesTest.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.stream.IntStream;
+import larkworks.platform.Datagram;
 import larkworks.shared.StateMessage.Ask;
 import larkworks.shared.StateMessage.Gossip;
 import larkworks.shared.StateMessage.Grant;
@@ -52,12 +53,12 @@
 
     @Property
     void everyMessageFitsReadsBackAndAFlippedBitIsCaught(@ForAll("messages") StateMessage m,
-            @ForAll @IntRange(min = 0, max = 2047) int bit) throws StateCodec.Malformed {
+            @ForAll @IntRange(min = 0, max = 2047) int bit) throws Datagram.Malformed {
         byte[] bytes = StateCodec.encode(m);
         assertTrue(bytes.length <= StateCodec.MOST_BYTES);
         assertEquals(m, StateCodec.decode(bytes, bytes.length));
         bytes[bit / 8 % bytes.length] ^= (byte) (1 << bit % 8);
-        assertThrows(StateCodec.Malformed.class, () -> StateCodec.decode(bytes, bytes.length));
+        assertThrows(Datagram.Malformed.class, () -> StateCodec.decode(bytes, bytes.length));
     }
 
     private static List<Register> merged(List<Register> registers) {
