--- a/src/main/java/larkworks/shared/SharedState.java
+++ b/src/main/java/larkworks/shared/SharedState.java
@@ -276,13 +276,17 @@
         }
         long now = nowMs.getAsLong();
         if (message instanceof Gossip gossip) {
+            boolean news = false;
             for (Register register : gossip.registers()) {
                 if (register.origin() >= members) {
                     drops.merge("origin", 1L, Long::sum);
                 } else {
-                    verdicts.merge(now, register);
+                    news |= verdicts.merge(now, register);
                 }
             }
+            if (news) {
+                gossip(now);  // passed on at once: each step by the clock would cost a round
+            }
         } else if (message instanceof Ask ask) {
             budgets.receive(now, ask);
         } else if (message instanceof Grant grant) {
--- a/src/main/java/larkworks/shared/Verdicts.java
+++ b/src/main/java/larkworks/shared/Verdicts.java
@@ -62,27 +62,31 @@
         held.put(new Key(register.server(), register.reason()), new Held(register));
     }
 
-    /** Takes what another process sent; whatever can't be is dropped and counted. */
-    void merge(long nowMs, Register register) {
+    /**
+     * Takes what another process sent; true where it was news. What no member can have written is dropped.
+     */
+    boolean merge(long nowMs, Register register) {
         long writtenMs = Hlc.ms(register.stamp());
         Key key = new Key(register.server(), register.reason());
         if (writtenMs > nowMs + MOST_AHEAD_MS || register.untilMs() > writtenMs + mostMs
                 || held.size() >= MOST_HELD && !held.containsKey(key)) {
             dropped++;
-            return;
+            return false;
         }
         if (writtenMs + mostMs <= nowMs) {
-            return;  // long over: late or replayed
+            return false;  // long over: late or replayed
         }
         clock.heard(register.stamp());
         Held before = held.get(key);
-        if (register.supersedes(before == null ? null : before.register)) {
+        boolean news = register.supersedes(before == null ? null : before.register);
+        if (news) {
             put(register);
             mostLagMs = Math.max(mostLagMs, nowMs - writtenMs);
             if (register.origin() != self) {
                 changed.accept(register);
             }
         }
+        return news;
     }
 
     /** Drops what is over; to be called now and then. */
