Have processes given one seed choose different members to tell

Each process shuffled its targets with the configuration's seed, which the harness gives to all alike, so all told the same three and missed the same one.

--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -114,7 +114,9 @@
                 config.fleet().peers().size(),
                 config.settings().classes().stream().map(RequestClass::name).toList(),
                 config.settings().rules().coldUs() / 1000, () -> driver.clock().nowUs() / 1000,
-                new Random(config.seed()), member.peers(), driver.new FromPeers());
+                // Processes given one seed must not all choose the same members to tell.
+                new Random(config.seed() + config.fleet().self() * 0x9E3779B97F4A7C15L), member.peers(),
+                driver.new FromPeers());
         member.carry(state);
         driver.share(state);
         return state;
