Give each process of a test fleet ports of its own

With fifty proxies one of them never came up, twice: the ports were asked for one after the other and closed, and the system gives one of a hundred twice. They are now asked for until each is new.

--- a/src/test/java/larkworks/fleet/Fleet.java
+++ b/src/test/java/larkworks/fleet/Fleet.java
@@ -32,10 +32,13 @@
 
     Fleet(int n, String membership, Path folder) throws IOException {
         List<InetSocketAddress> backs = new ArrayList<>();
-        for (int i = 0; i < n; i++) {
+        while (backs.size() < n) {
             InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
             try (DatagramSocket free = new DatagramSocket(any)) {
-                backs.add((InetSocketAddress) free.getLocalSocketAddress());
+                InetSocketAddress back = (InetSocketAddress) free.getLocalSocketAddress();
+                if (!backs.contains(back)) {
+                    backs.add(back);  // the system may give a port twice, once it is closed again
+                }
             }
         }
         relay = new UdpRelay(backs);
--- a/src/test/java/larkworks/proxy/ProxyFleet.java
+++ b/src/test/java/larkworks/proxy/ProxyFleet.java
@@ -45,9 +45,12 @@
     ProxyFleet(int size, Path folder, String tables, long coldUs) throws Exception {
         this.folder = folder;
         List<InetSocketAddress> backs = new ArrayList<>();
-        for (int i = 0; i < size; i++) {
+        while (backs.size() < size) {
             try (DatagramSocket free = new DatagramSocket(0, InetAddress.getByName(Bench.HOST))) {
-                backs.add((InetSocketAddress) free.getLocalSocketAddress());
+                InetSocketAddress back = (InetSocketAddress) free.getLocalSocketAddress();
+                if (!backs.contains(back)) {
+                    backs.add(back);
+                }
             }
         }
         relay = new UdpRelay(backs);
@@ -61,8 +64,8 @@
         }
         try (Bench bench = new Bench(0)) {
             for (int i = 0; i < size; i++) {
-                ports.add(Bench.freePort());
-                admins.add(Bench.freePort());
+                ports.add(port());
+                admins.add(port());
                 bench.more = "\"peer_listen\":" + quoted(backs.get(i)) + ",\"peers\":" + peers
                         + ",\"peers_all\":" + quoted(relay.everyone()) + ",\"member\":" + i + "," + tables;
                 configs.add(Files.writeString(folder.resolve("proxy" + i + ".json"),
@@ -75,6 +78,15 @@
         }
     }
 
+    /** A free port, no other's here: the system gives one twice among a hundred, once it is closed again. */
+    private int port() throws IOException {
+        int port = Bench.freePort();
+        while (ports.contains(port) || admins.contains(port)) {
+            port = Bench.freePort();
+        }
+        return port;
+    }
+
     private static String quoted(InetSocketAddress a) {
         return "\"" + a.getAddress().getHostAddress() + ":" + a.getPort() + "\"";
     }
