Test that a long scrape holds up no recording

A gauge that waits while the text is rendered shows that scrape returns at once and that a request is recorded meanwhile; rendered on the caller's thread it would never end.

--- a/src/test/java/larkworks/proxy/MetricsTest.java
+++ b/src/test/java/larkworks/proxy/MetricsTest.java
@@ -1,12 +1,20 @@
 package larkworks.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import larkworks.Balancer.DedupGroup;
+import larkworks.Balancer.Effect;
+import larkworks.Balancer.RequestClass;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -51,6 +59,31 @@
         }
     }
 
+    @Test
+    void aScrapeThatTakesLongHoldsUpNoRecording() throws Exception {
+        CountDownLatch rendering = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        try (Meters meters = new Meters(List.of(new RequestClass("look", 1, 1, 1, 0, Effect.SAFE,
+                DedupGroup.ALL, 0)))) {
+            meters.gauge("slow", goOn, latch -> {
+                rendering.countDown();
+                try {
+                    latch.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+                return 7;
+            });
+            CompletableFuture<String> text = new CompletableFuture<>();
+            meters.scrape(text::complete);
+            rendering.await();
+            meters.answered(0, Meters.Result.SERVED, 1_000);
+            assertFalse(text.isDone(), "recorded while it is rendered");
+            goOn.countDown();
+            assertTrue(text.get(30, TimeUnit.SECONDS).contains("slow 7.0"));
+        }
+    }
+
     @Test
     void isAbsentUnlessAskedFor() throws Exception {
         int admin = Bench.freePort();
