Take a member's number from the settings where its address is not among the peers

A trial with membership on wherever the settings allow peers ended each proxy at its start: 'member: no entry of peers is this process'. An entry equal to peer_listen still goes first, and 'member' before both.

--- a/src/main/java/larkworks/fleet/FleetConfig.java
+++ b/src/main/java/larkworks/fleet/FleetConfig.java
@@ -31,15 +31,20 @@
     }
 
     /**
-     * Reads {@code peer_listen}, {@code peers}, {@code peers_all}, {@code member} (own id, where its entry
-     * in {@code peers} is not {@code peer_listen}, as behind a relay) and {@code membership} (figures, times
-     * in ms; what is not given has its default). What is wrong is noted in the section.
+     * Reads {@code peer_listen}, {@code peers}, {@code peers_all}, {@code member} (own id; if left out the
+     * place of {@code peer_listen} in {@code peers}, or the settings' {@code me} where others reach this
+     * process at another address) and {@code membership} (figures, times in ms; what is not given has its
+     * default). What is wrong is noted in the section.
      */
     public static FleetConfig of(Section top) {
         InetSocketAddress listen = top.address("peer_listen");
         InetSocketAddress everyone = top.optionalAddress("peers_all");
         List<InetSocketAddress> peers = top.addresses("peers", false);
-        int self = (int) top.whole("member", (long) peers.indexOf(listen), -1, peers.size() - 1L);
+        long own = peers.indexOf(listen);
+        if (own < 0 && top.optionalSection("settings").map().get("me") instanceof Number me) {
+            own = me.longValue();  // DEPLOY: peers stand in the order of their numbers in the settings
+        }
+        int self = (int) top.whole("member", own, -1, peers.size() - 1L);
         if (self < 0 && listen != null) {
             top.fault("member", "no entry of peers is this process");
         }
--- a/src/test/java/larkworks/proxy/ConfigFileTest.java
+++ b/src/test/java/larkworks/proxy/ConfigFileTest.java
@@ -83,6 +83,13 @@
         assertEquals(8, read(without, Map.of("GW_LISTEN", "127.0.0.1:8"), Map.of()).listen().getPort());
     }
 
+    @Test
+    void knowsItselfAmongThePeersByAddressElseByItsNumberInTheSettings() throws Exception {
+        assertEquals(0, read(GOOD, Map.of(), Map.of()).fleet().self());
+        String elsewhere = GOOD.replace("peer_listen = \"127.0.0.1:7946\"", "peer_listen = \"127.0.0.9:1\"");
+        assertEquals(1, read(elsewhere.replace("me = 0", "me = 1"), Map.of(), Map.of()).fleet().self());
+    }
+
     @Test
     void tellsAllThatIsWrongAtOnce() {
         String bad = GOOD.replace("listen = \"127.0.0.1:9000\"", "listen = \"here\"")
