Drop what the fleet parts left unused, and keep one filter of members present

Reading the whole change again: Meters.registry, Adoption.version and Config.read(String) had no caller; ListService.ramp took a callback that was always empty; FleetMember filtered present members twice with a check that MemberState.probed already is; the status call went through the list three times for one answer. Behaviour as before: RegistryProcessTest, MetricsTest, ConfigFileTest, ConfigTest, MembershipTest, SharedPropertiesTest, LarkworksTest and ProxyMembersTest pass, Checkstyle clean.

--- a/src/main/java/larkworks/fleet/FleetMember.java
+++ b/src/main/java/larkworks/fleet/FleetMember.java
@@ -15,6 +15,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import larkworks.shared.SharedState;
 
 /**
@@ -81,17 +82,18 @@
 
             @Override
             public List<Integer> present() {
-                return membership.rows().stream().filter(row -> row.id() != config.self())
-                        .filter(row -> row.state() == MemberState.ALIVE || row.state() == MemberState.SUSPECT)
-                        .map(MemberTable.Row::id).toList();
+                return others().map(MemberTable.Row::id).toList();
             }
 
             @Override
             public long silenceMs() {
                 long now = nowUs();
-                return membership.rows().stream().filter(row -> row.id() != config.self())
-                        .filter(row -> row.state() == MemberState.ALIVE || row.state() == MemberState.SUSPECT)
-                        .mapToLong(row -> (now - row.lastHeardUs()) / 1000).max().orElse(0);
+                return others().mapToLong(row -> (now - row.lastHeardUs()) / 1000).max().orElse(0);
+            }
+
+            private Stream<MemberTable.Row> others() {
+                return membership.rows().stream()
+                        .filter(row -> row.id() != config.self() && row.state().probed());
             }
         };
     }
--- a/src/main/java/larkworks/proxy/Adoption.java
+++ b/src/main/java/larkworks/proxy/Adoption.java
@@ -64,6 +64,7 @@
     private final Reader reader;
     private final Settings first;
     private int at;
+    /** The version that is run; 0 for the file alone. */
     private long version;
     private long refused;
     private String why = "";
@@ -92,11 +93,6 @@
         }
     }
 
-    /** The version that is run; 0 for the file alone. */
-    long version() {
-        return version;
-    }
-
     private void report() {
         if (closed) {
             return;
--- a/src/main/java/larkworks/proxy/Config.java
+++ b/src/main/java/larkworks/proxy/Config.java
@@ -98,10 +98,6 @@
         return config;
     }
 
-    static Config read(String file) throws Unusable {
-        return read(file, Map.of(), Map.of());
-    }
-
     private static Config of(Section top, String state) {
         InetSocketAddress listen = top.address("listen");
         InetSocketAddress admin = top.optionalAddress("admin_addr");
--- a/src/main/java/larkworks/proxy/Meters.java
+++ b/src/main/java/larkworks/proxy/Meters.java
@@ -2,7 +2,6 @@
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
-import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -116,10 +115,6 @@
         Gauge.builder(name, of, figure).tags(tags).strongReference(true).register(registry);
     }
 
-    MeterRegistry registry() {
-        return registry;
-    }
-
     /**
      * Renders all meters in Prometheus' text format 0.0.4, and hands the text over on the rendering thread.
      */
--- a/src/main/java/larkworks/registry/ListService.java
+++ b/src/main/java/larkworks/registry/ListService.java
@@ -163,6 +163,7 @@
 
     /** Figures for the operator. */
     Map<String, Object> figures() {
+        List<Instance> live = catalog.live();
         Map<String, Object> figures = new LinkedHashMap<>();
         figures.put("index", catalog.index());
         figures.put("compacted", catalog.compacted());
@@ -170,9 +171,9 @@
         figures.put("instances", catalog.size());
         figures.put("leases", leases.size());
         figures.put("watches", watches.size());
-        figures.put("waiting", catalog.live().stream().filter(i -> i.ramp() == Admission.WAITS).count());
-        figures.put("ramping", catalog.live().stream().filter(i -> i.ramp() > 0).count());
-        figures.put("stopped", catalog.live().stream().filter(i -> i.ramp() == Admission.STOPPED).count());
+        figures.put("waiting", live.stream().filter(i -> i.ramp() == Admission.WAITS).count());
+        figures.put("ramping", live.stream().filter(i -> i.ramp() > 0).count());
+        figures.put("stopped", live.stream().filter(i -> i.ramp() == Admission.STOPPED).count());
         figures.put("log_bytes", store.logBytes());
         figures.put("fsyncs", store.syncs());
         figures.put("writable", !store.isBroken());
@@ -244,26 +245,23 @@
             return;
         }
         ramp(admission.step(catalog.live(), rollouts.resting(System.currentTimeMillis()),
-                System.currentTimeMillis()), failure -> { });
+                System.currentTimeMillis()));
     }
 
     /** Lets the servers that were taken out wait anew; {@code done} as with {@link #write}. */
     void resumeAdmission(Consumer<IOException> done) {
-        ramp(Admission.resumed(catalog.live()), failure -> { });
+        ramp(Admission.resumed(catalog.live()));
         store.submit(new Store.Ticket(null, done, era));
     }
 
-    private void ramp(List<Instance> changes, Consumer<IOException> done) {
+    private void ramp(List<Instance> changes) {
         for (Instance next : changes) {
             Change change = registrar.ramp(catalog.get(next.name()), next.ramp());
             if (change != null) {
                 LOG.atInfo().addKeyValue("instance", next.name()).addKeyValue("ramp", next.ramp())
                         .log("admission");
                 admitting++;
-                store.submit(new Store.Ticket(change, failure -> {
-                    admitting--;
-                    done.accept(failure);
-                }, era));
+                store.submit(new Store.Ticket(change, failure -> admitting--, era));
             }
         }
     }
