End a told process only once all it took is answered, and before SIGKILL can come

A process ended by itself 0.5 s after the longest deadline, while requests come for 0.7 s after SIGTERM: one that came between 0.5 and 0.7 s and met a backend that hangs was cut off before its time was over (Main.finish, FINISH_MS). And a connection that had never carried a request stayed open until 2.5 s, so that a request could come on it at any moment up to SIGKILL and be found unanswered.

Change: the end waits for the last request's due time; connections without a request are closed once the listener is, and what still comes whole after that is due before the earliest SIGKILL (longest deadline, 3 s at most, + 0.65 s). 30 s after the last due time large bodies on their way are cut off, as no deadline ends them.

Tests: two in ProcessTest; run against the old code, both fail with 'the process ended first'.

--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -188,6 +188,10 @@
     /** Probes without an answer yet. */
     private final Set<Probe> probes = new HashSet<>();
     private long lastId;
+    /** By then requests that come now must have their answer, whatever time their clients give. */
+    private long answerByUs = Long.MAX_VALUE;
+    /** The latest time at which a request held so far is due. */
+    private long lastDueUs;
     private boolean deciding;
     private Runnable watch = () -> { };
     /** Null where no metrics are kept. */
@@ -502,7 +506,7 @@
     /** Takes a request over from a client. */
     Held request(Inbound inbound, Client client) {
         long now = clock.nowUs();
-        long deadlineUs = inbound.takenAtUs() + inbound.timeLeftUs();
+        long deadlineUs = dueUs(inbound.takenAtUs(), inbound);
         Held held = new Held(Long.toString(++lastId), inbound, client, deadlineUs, newest);
         requests.put(held.id, held);
         held.module.requests++;
@@ -524,6 +528,24 @@
         return held;
     }
 
+    /** From now on the process may be ended at that time: requests that come have an answer by then. */
+    void answerBy(long atUs) {
+        answerByUs = atUs;
+        lastDueUs = Math.max(lastDueUs, atUs);
+    }
+
+    /** By then every request taken so far is answered, large bodies on their way apart. */
+    long lastDueUs() {
+        return lastDueUs;
+    }
+
+    /** When a request is due whose last byte came at that time. */
+    private long dueUs(long takenAtUs, Inbound inbound) {
+        long dueUs = Math.min(takenAtUs + inbound.timeLeftUs(), answerByUs);
+        lastDueUs = Math.max(lastDueUs, dueUs);
+        return dueUs;
+    }
+
     private void armGuard(Held held, long now) {
         held.guard = loop.schedule(() -> guard(held), Math.max(0, held.deadlineUs - GUARD_US - now),
                 TimeUnit.MICROSECONDS);
@@ -536,7 +558,7 @@
         }
         long now = clock.nowUs();
         held.uploadedUs = now;
-        held.deadlineUs = now + held.inbound.timeLeftUs();
+        held.deadlineUs = dueUs(now, held.inbound);
         armGuard(held, now);
         held.tries.stream().filter(attempt -> !attempt.ended).forEach(attempt -> limit(attempt, now,
                 held.deadlineUs));
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -51,6 +51,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import larkworks.Balancer.Effect;
 import larkworks.Balancer.RequestClass;
 import larkworks.Balancer.Settings;
@@ -160,19 +161,25 @@
         draining = true;
     }
 
-    /**
-     * Takes no further connections, but for those already in the listener's queue, which would be reset; and
-     * closes those that have carried a request and carry none now. The others may have one on the way: they
-     * go once it is answered, or as strangers.
-     */
+    /** Takes no further connections, but for those already in the listener's queue, which would be reset. */
     void stopListening() {
-        List.copyOf(idle).stream().filter(connection -> !connection.stirred && connection.head == null)
-                .forEach(connection -> connection.channel.close());
         if (listener != null && listener.isOpen()) {
             listener.deregister().addListener(done -> closeOnceEmpty());
         }
     }
 
+    /**
+     * Closes connections on which no request has begun to come: clients send on every one that stays open, to
+     * the end of the process. One that never carried any may have its first on the way for a moment.
+     */
+    void closeUnused() {
+        long silentSinceMs = nowMs() - SILENT_MS;
+        List<Connection> unused = Stream.concat(idle.stream(),
+                strangers.stream().filter(stranger -> stranger.stirredMs < silentSinceMs))
+                .filter(connection -> !connection.stirred && connection.head == null).toList();
+        unused.forEach(connection -> connection.channel.close());
+    }
+
     /**
      * While a selector knows the listener, the system closes it only some time after it was told to, with all
      * that came meanwhile; so the selector forgets it first.
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -36,8 +36,13 @@
     private static final long ACCEPT_MS = 700;
     /** How often it is seen whether all is finished. */
     private static final long END_LOOK_MS = 10;
-    /** After the longest deadline, SIGKILL comes no sooner than 0.7 s. */
-    private static final long FINISH_MS = 500;
+    /** SIGKILL comes no sooner than so long after the longest deadline, which counts as 3 s at the most. */
+    private static final long KILL_MS = 700;
+    private static final long LONGEST_MS = 3_000;
+    /** What comes late is answered so long before that: limits in time have this slack on sockets. */
+    private static final long KILL_MARGIN_MS = 50;
+    /** Large bodies have no deadline; platforms commonly wait so long before they kill a process. */
+    private static final long TRANSFER_MS = 30_000;
 
     /** With a second address, so long is waited for the first list; then the one known from before serves. */
     private static final long LIST_WAIT_MS = 2_500;
@@ -263,6 +268,11 @@
         }
     }
 
+    /** The one loop, for tests that make several things happen in one turn of it. */
+    EventLoop loop() {
+        return loop;
+    }
+
     /** Where the operators' calls come; only after a start with a second address. */
     InetSocketAddress adminAddress() {
         return (InetSocketAddress) admin.localAddress();
@@ -278,9 +288,13 @@
         return serving.getNow();
     }
 
-    /** Finishes what was taken, while the JVM waits for this before it exits. */
+    /**
+     * Finishes what was taken, while the JVM waits for this before it exits. It ends only once that is done:
+     * whatever was left then would be lost, while SIGKILL may come later than it could.
+     */
     private void finish() {
         loop.execute(() -> {
+            long toldUs = driver.clock().nowUs();
             frontend.drain();
             if (adoption != null) {
                 adoption.close();
@@ -289,24 +303,33 @@
                 member.leave();
             }
             loop.schedule(() -> {
+                // What comes from now on must not be found unanswered by the earliest SIGKILL.
+                long killMs = Math.min(LONGEST_MS, longestMs()) + KILL_MS;
+                driver.answerBy(toldUs + (killMs - KILL_MARGIN_MS) * 1000);
                 frontend.stopListening();
                 endWhenIdle();
             }, ACCEPT_MS, TimeUnit.MILLISECONDS);
         });
-        long longestUs = config.settings().classes().stream().mapToLong(RequestClass::deadlineUs).max()
-                .orElse(0);
         try {
-            if (!finished.await(longestUs / 1000 + FINISH_MS, TimeUnit.MILLISECONDS)) {
-                LOG.warn("stopped with requests in flight");
-            }
+            finished.await();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private long longestMs() {
+        return config.settings().classes().stream().mapToLong(RequestClass::deadlineUs).max().orElse(0)
+                / 1000;
+    }
+
     /** All answers have then left: each closes its connection. */
     private void endWhenIdle() {
-        if (driver.isIdle() && frontend.isEmpty()) {
+        frontend.closeUnused();
+        boolean late = driver.clock().nowUs() > driver.lastDueUs() + TRANSFER_MS * 1000;
+        if (late) {
+            LOG.warn("stopped with large bodies on their way");
+        }
+        if (late || driver.isIdle() && frontend.isEmpty()) {
             finished.countDown();
         } else {
             loop.schedule(this::endWhenIdle, END_LOOK_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/larkworks/proxy/ProcessTest.java
+++ b/src/test/java/larkworks/proxy/ProcessTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -63,6 +65,62 @@
         }
     }
 
+    /** A process whose classes have that deadline, which sets how soon SIGKILL may come. */
+    private Process startWithDeadline(Bench bench, int port, long ms) throws IOException {
+        bench.at(port);
+        return start(bench.config(port, bench.all(1)).replace("2000000,", "500000,")
+                .replace("30000000,\"worth", ms + "000,\"worth"));
+    }
+
+    @Test
+    void endsNotBeforeTheLastRequestIsDueThoughItsBackendHangs() throws Exception {
+        int port = Bench.freePort();
+        try (Bench bench = new Bench(1)) {
+            Process process = startWithDeadline(bench, port, 1_000);
+            try {
+                Bench.Client probe = connect(bench);
+                Bench.Client client = bench.client();
+                process.destroy();
+                while (ready(probe) == 200) {
+                    Thread.onSpinWait();
+                }
+                // Due 1.5 s after the longest deadline: no request that came within 0.7 s is due later than
+                // the earliest SIGKILL, but one may well be due later than 0.5 s before it.
+                client.look("hung", 2_500);
+                bench.backends.get(0).next();
+                Peer.Message answer = client.answer();
+                assertNotNull(answer, "the process ended first");
+                assertEquals(502, Integer.parseInt(answer.line().split(" ")[1]));
+                assertTrue(process.waitFor(Peer.LIMIT_S, TimeUnit.SECONDS));
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    @Test
+    void answersBeforeTheEarliestSigkillWhatCameWholeOnlyAfterTheListenerClosed() throws Exception {
+        int port = Bench.freePort();
+        try (Bench bench = new Bench(1)) {
+            Process process = startWithDeadline(bench, port, 1_000);
+            try {
+                connect(bench).socket().close();
+                Bench.Client half = bench.client().send("GET /look HTTP/1.1\r\nHost: x\r\n");
+                Bench.Client silent = bench.client();
+                process.destroy();
+                // A connection that stays open would be sent to until SIGKILL.
+                assertNull(silent.answer());
+                half.send("X-Call-Id: late\r\nX-Call-Class: look\r\nX-Budget-Ms: 20000\r\n\r\n");
+                Peer.Message answer = half.answer();
+                assertNotNull(answer, "the process ended first");
+                assertTrue(answer.line().startsWith("HTTP/1.1 50"), answer.line());
+                assertTrue(process.waitFor(Peer.LIMIT_S, TimeUnit.SECONDS));
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     void turnsToAnotherDiscoveryAtSighupAndOutlivesABadConfiguration() throws Exception {
         int port = Bench.freePort();
