Ask discovery again only past the 200 ms in which a failed watch still goes on

PROTOCOL: 'A watch continues as long as the next such call comes within 200 ms of the last answer; changes in the time between count as told.' The 503 is such an answer. Ruled out: silent watches (n0 missed the drain for 7 s and broke nothing), the time for asking (10 s), an answer read late (none lay unread: the next call was still to come).

At fault: Logic.discoveryFailed, a pause of 0.5 to 1.5 times 250 ms. Now 210 ms and up to 250 ms beyond, doubled as before up to a quarter of the time for asking.

Tests: one in LogicTest, one over sockets in ProxyTest; both fail with the old pause.

--- a/src/main/java/larkworks/Logic.java
+++ b/src/main/java/larkworks/Logic.java
@@ -28,7 +28,9 @@
     private static final double RETRY_EARNED = 0.1;
     /** Further attempts that may be saved up for a burst of failures. */
     private static final double RETRY_SAVED = 5;
-    /** First pause before discovery is asked again; doubled at each failure. */
+    /** A call within 200 ms of an answer, if only that it failed, goes on with the watch that ended so. */
+    private static final long NEW_WATCH_US = 210_000;
+    /** The most that is waited beyond that before discovery is asked again; doubled at each failure. */
     private static final long ASK_AGAIN_US = 250_000;
     /** Part of the whole that probes may cost over all tiers; where two a call are dearer, none is sent. */
     private static final double PROBE_SPEND = 0.02;
@@ -363,7 +365,7 @@
         watching = false;
         long pause = ASK_AGAIN_US << Math.min(askFailures++, 6);
         long most = settings.rules().askWithinUs() > 0 ? settings.rules().askWithinUs() / 4 : pause;
-        askAtUs = nowUs + (long) (Math.min(pause, most) * (0.5 + random.nextDouble()));
+        askAtUs = nowUs + NEW_WATCH_US + (long) (Math.min(pause, most) * random.nextDouble());
         advance(nowUs);
     }
 
@@ -977,10 +979,7 @@
 
     /** Whether half of the servers stay in use if one more rests: no false alarm may rest them all. */
     private boolean mostStay(long nowUs) {
-        int inUse = 0;
-        for (Backend s : subset) {
-            inUse += opensAtUs(nowUs, s) <= nowUs ? 1 : 0;
-        }
+        long inUse = subset.stream().filter(s -> opensAtUs(nowUs, s) <= nowUs).count();
         return (inUse - 1) * 2 >= subset.size();
     }
 
--- a/src/test/java/larkworks/LogicTest.java
+++ b/src/test/java/larkworks/LogicTest.java
@@ -543,6 +543,19 @@
             assertTrue(last > 500 * MS, "pause " + last);
         }
 
+        @Test
+        void startsANewWatchAfterAFailureAndDoesNotGoOnWithTheOldOne() {
+            for (int seed = 0; seed < 50; seed++) {
+                Proxy.Setup setup = setup();
+                setup.watch = true;
+                Proxy p = new Proxy(setup, seed).with("a");
+                assertEquals(1, p.count("watch"));
+                p.logic.discoveryFailed(p.now);
+                p.pass(200);
+                assertEquals(1, p.count("watch"), "seed " + seed);
+            }
+        }
+
         @Test
         void followsNoListUnaskedWhereItIsPushed() {
             Proxy p = new Proxy(setup()).with("a");
--- a/src/test/java/larkworks/proxy/ProxyTest.java
+++ b/src/test/java/larkworks/proxy/ProxyTest.java
@@ -405,6 +405,26 @@
         }
     }
 
+    /** Sooner, the call would go on with the watch that failed, and all that is missed count as told. */
+    @Test
+    void asksNotAgainWithinTheTimeThatAWatchGoesOn() throws Exception {
+        try (Bench bench = new Bench(1)) {
+            bench.mode = "on_request";
+            bench.start(folder);
+            Peer.Message call = bench.discovery.next();
+            for (int i = 0; i < 12; i++) {
+                long failedAt = System.nanoTime();
+                call.reply(503, "");
+                call = bench.discovery.next();
+                long pauseMs = (System.nanoTime() - failedAt) / 1_000_000;
+                assertTrue(pauseMs > 200, "asked again after " + pauseMs + " ms");
+                // With a list the pauses begin anew.
+                call.reply(200, bench.all(i + 1));
+                call = bench.discovery.next();
+            }
+        }
+    }
+
     @Test
     void probesBeforeItSendsWhereThatIsAllowed() throws Exception {
         try (Bench bench = new Bench(1)) {
