Read on behind the request in hand, so that a client that leaves is seen

Need: a request whose client left while it waited is not sent on 0.3 s later. Behind more than 16 parts or 64 KiB the Frontend turned reading off, and saw neither FIN nor reset of a client that had sent much at once and gone: its first request kept its attempt to the deadline, and the next ones went to backends, one after the other, for nobody. A client counts as gone with its FIN, a half-closed one too: PROTOCOL gives ending one's sending the meaning of giving up.

Change: Backlog owns what came behind the request in hand, within 64 KiB a connection and the common bound of held bodies. What is beyond is read and dropped; the requests before it are answered, then the connection closes. Also: what came in the turn in which the first was answered was taken before what waited (channelRead looked at the request in hand only). Ruled out by tests that pass on the old code: gone while queued, before another attempt, in the body.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -41,7 +41,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -62,8 +61,6 @@
 final class Frontend {
 
     private static final Logger LOG = LoggerFactory.getLogger("proxy");
-    /** Heads and parts of bodies that one connection may have waiting behind the request in flight. */
-    private static final int MOST_WAITING = 16;
     /** Clients may send a body at 64 kB a second; one that stays well under that is no client. */
     private static final long LEAST_RATE = 48_000;
     /** Time between a head and its body's first bytes that is granted however late the head was. */
@@ -321,20 +318,21 @@
         return uri.isEmpty() ? "" : uri.substring(1, end);
     }
 
+    /** Drops what comes before anything is made of it. */
+    private static final class Discarding extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object bytes) {
+            ReferenceCountUtil.release(bytes);
+        }
+    }
+
     /** A client's connection. Its requests are answered in the order in which they came. */
     private final class Connection extends ChannelInboundHandlerAdapter {
 
-        /** Something that came behind the request in hand. */
-        private record Later(HttpObject object, long atUs) {
-            int bytes() {
-                return object instanceof HttpContent content ? content.content().readableBytes() : 0;
-            }
-        }
-
         private final Channel channel;
         private final long openedMs = nowMs();
-        private final ArrayDeque<Later> later = new ArrayDeque<>(2);
-        private int laterBytes;
+        /** What came behind the request in hand. */
+        private final Backlog later = new Backlog(change -> MOST_HELD - (heldBytes += change));
         /** The request in hand, from its head until its answer has gone; else null. */
         private HttpRequest head;
         /** Whether its body is still coming. */
@@ -413,12 +411,11 @@
             long now = driver.clock().nowUs();
             if (closing) {
                 ReferenceCountUtil.release(object);
-            } else if (head != null && !receiving) {
-                Later behind = new Later(object, now);
-                later.add(behind);
-                laterBytes += behind.bytes();
-                if (laterBytes > BackendPool.MOST_BODY || later.size() > MOST_WAITING) {
-                    channel.config().setAutoRead(false);
+            } else if (!later.isEmpty() || head != null && !receiving) {
+                boolean first = !later.overrun();
+                if (!later.add(object, now) && first) {
+                    // What comes from here on is not even decoded; but read, else its end would not be seen.
+                    context.pipeline().addFirst(new Discarding());
                 }
             } else {
                 take(object, now);
@@ -628,7 +625,7 @@
                         String.format(Locale.ROOT, "%.3f", retryAfterUs / 1e6));
             }
             boolean last = describeEnd(response);
-            if (last && receiving) {
+            if (last && (receiving || later.overrun())) {
                 // The client may read only once it has sent all; it has the time that a silent one has.
                 close();
                 Lingering.close(channel, response, STRANGER_MS);
@@ -643,7 +640,7 @@
 
         /** Tells the client whether the connection goes on; returns whether this answer is its last. */
         private boolean describeEnd(HttpResponse response) {
-            boolean last = !keep || receiving || draining && later.isEmpty();
+            boolean last = !keep || receiving || (draining || later.overrun()) && later.isEmpty();
             if (last) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
@@ -658,7 +655,7 @@
             idleOf().remove(this);
             patience(null);
             releaseBody();
-            dropLater();
+            later.clear();
             held = null;
             busy = false;
         }
@@ -675,11 +672,6 @@
             }
         }
 
-        private void dropLater() {
-            later.forEach(l -> ReferenceCountUtil.release(l.object()));
-            later.clear();
-        }
-
         /** The request in hand is done with; the next one's turn comes. */
         private void next() {
             releaseBody();
@@ -690,6 +682,11 @@
             if (!channel.isActive()) {
                 return;
             }
+            if (later.overrun() && !stirred) {
+                close();
+                Lingering.close(channel, Unpooled.EMPTY_BUFFER, STRANGER_MS);
+                return;
+            }
             idleOf().add(this);
             patience(proper && !stirred ? null
                     : loop.schedule(() -> channel.close(), STRANGER_MS, TimeUnit.MILLISECONDS));
@@ -702,8 +699,7 @@
 
         private void takeLater() {
             while (!later.isEmpty() && !closing && (head == null || receiving)) {
-                Later first = later.poll();
-                laterBytes -= first.bytes();
+                Backlog.Part first = later.poll();
                 take(first.object(), first.atUs());
             }
             if (later.isEmpty() && upload == null) {
@@ -726,7 +722,7 @@
                 driver.clientGone(gone);
             }
             releaseBody();
-            dropLater();
+            later.clear();
         }
 
         @Override
@@ -810,7 +806,7 @@
         public void end() {
             connection.answering = null;
             connection.held = null;
-            boolean receiving = connection.receiving;
+            boolean receiving = connection.receiving || connection.later.overrun();
             if (last) {
                 connection.close();
             }
--- a/src/test/java/larkworks/proxy/Bench.java
+++ b/src/test/java/larkworks/proxy/Bench.java
@@ -167,6 +167,38 @@
         return port;
     }
 
+    /** Holds the proxy's loop while the step runs, so that all of it is there in the next turn. */
+    void inOneTurn(Step step) throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch over = new CountDownLatch(1);
+        main.loop().execute(() -> {
+            held.countDown();
+            try {
+                over.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+        try {
+            step.run();
+        } finally {
+            over.countDown();
+        }
+    }
+
+    /** Returns once the proxy has read all that came to it before, and acted on it. */
+    void settle() throws IOException {
+        if (client().send("GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n").status() != 200) {
+            throw new AssertionError("the proxy does not live");
+        }
+    }
+
+    /** Something that a test does. */
+    interface Step {
+        void run() throws Exception;
+    }
+
     /** Lets this bench's clients connect to a proxy that runs elsewhere. */
     void at(int listen) {
         port = listen;
--- /dev/null
+++ b/src/test/java/larkworks/proxy/CrossingTest.java
@@ -0,0 +1,164 @@
+package larkworks.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Events that cross; each test forces one crossing of those in docs/crossings.md. */
+@Timeout(120)
+class CrossingTest {
+
+    @TempDir
+    Path folder;
+
+    /** The ways in which a client leaves. */
+    enum Leaving {
+        FIN, RESET, HALF_CLOSE;
+
+        void leave(Bench.Client client) throws IOException {
+            if (this == HALF_CLOSE) {
+                client.socket().shutdownOutput();
+                return;
+            }
+            if (this == RESET) {
+                client.socket().setSoLinger(true, 0);
+            }
+            client.socket().close();
+        }
+    }
+
+    private static final String NOBODY = Bench.list(1, true);
+
+    private static String look(String id) {
+        return "GET /look HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id
+                + "\r\nX-Call-Class: look\r\nX-Budget-Ms: 20000\r\n\r\n";
+    }
+
+    /** Sends a request of another client, which must be the next that any backend gets. */
+    private static void assertNextIsAnother(Bench bench, int backend) throws Exception {
+        Bench.Client other = bench.client().look("other");
+        Peer.Message sent = bench.backends.get(backend).next();
+        assertEquals("other", sent.header("X-Call-Id"));
+        sent.reply(200, "for another");
+        assertEquals("for another", other.answer().text());
+        assertEquals(0, bench.backends.get(backend).waiting());
+    }
+
+    // ---- clients that leave while their request waits
+
+    @ParameterizedTest
+    @EnumSource(Leaving.class)
+    void aRequestThatWaitsForABackendIsNotSentOnAfterItsClientLeft(Leaving way) throws Exception {
+        try (Bench bench = new Bench(1).start(folder, NOBODY)) {
+            Bench.Client client = bench.client().look("gone");
+            bench.settle();
+            way.leave(client);
+            bench.settle();
+            bench.discovery.next().reply(200, bench.all(2));
+            bench.discovery.next();
+            assertNextIsAnother(bench, 0);
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Leaving.class)
+    void aRequestThatWaitsForAnotherAttemptIsNotSentOnAfterItsClientLeft(Leaving way) throws Exception {
+        try (Bench bench = new Bench(2)) {
+            bench.start(folder, Bench.list(1, true, bench.entry(0, "in_service")));
+            Bench.Client client = bench.client().look("gone");
+            bench.backends.get(0).next().reply(503, "", "X-Rejected: 1");
+            bench.settle();
+            way.leave(client);
+            bench.settle();
+            bench.discovery.next().reply(200, Bench.list(2, true, bench.entry(1, "in_service")));
+            bench.discovery.next();
+            assertNextIsAnother(bench, 1);
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Leaving.class)
+    void aClientThatLeavesWhileItsBodyComesHasNothingSentOn(Leaving way) throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            Bench.Client client = bench.client().send("POST /act HTTP/1.1\r\nHost: x\r\nX-Call-Id: gone\r\n"
+                    + "X-Call-Class: act\r\nContent-Length: 100\r\n\r\nhalf of it");
+            bench.settle();
+            way.leave(client);
+            bench.settle();
+            assertNextIsAnother(bench, 0);
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Leaving.class)
+    void aClientThatSendsMuchAtOnceAndLeavesHasItsAttemptEndedAndNothingElseSent(Leaving way)
+            throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            Bench.Client client = bench.client().look("a");
+            Peer.Message sent = bench.backends.get(0).next();
+            client.send(look("b").repeat(2_000));
+            way.leave(client);
+            // Only who goes on reading sees it.
+            sent.awaitEnd();
+            assertNextIsAnother(bench, 0);
+        }
+    }
+
+    // ---- requests behind one another on a connection
+
+    @Test
+    void aRequestThatComesWithTheAnswerToTheFirstWaitsForTheSecond() throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            Bench.Client client = bench.client().look("a").look("b");
+            Peer.Message first = bench.backends.get(0).next();
+            bench.settle();
+            bench.inOneTurn(() -> {
+                first.reply(200, "a");
+                client.look("c");
+            });
+            assertEquals("a", client.answer().text());
+            for (String id : List.of("b", "c")) {
+                Peer.Message sent = bench.backends.get(0).next();
+                assertEquals(id, sent.header("X-Call-Id"));
+                sent.reply(200, id);
+                assertEquals(id, client.answer().text());
+            }
+        }
+    }
+
+    @Test
+    void ofRequestsThatAreTooManyTheFirstAreAnsweredAndTheConnectionEndsInOrder() throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            Bench.Client client = bench.client().look("0");
+            Peer.Message sent = bench.backends.get(0).next();
+            StringBuilder many = new StringBuilder();
+            for (int i = 1; i < 1_000; i++) {
+                many.append(look(Integer.toString(i)));
+            }
+            client.send(many.toString());
+            bench.settle();
+            int next = 0;
+            String connection = null;
+            while (!"close".equals(connection)) {
+                assertEquals(Integer.toString(next), sent.header("X-Call-Id"));
+                sent.reply(200, "answer " + next);
+                Peer.Message answer = client.answer();
+                assertEquals("answer " + next++, answer.text());
+                connection = answer.header("Connection");
+                sent = "close".equals(connection) ? sent : bench.backends.get(0).next();
+            }
+            assertTrue(next > 16 && next < 1_000, next + " were answered");
+            assertNull(client.answer());
+            assertEquals(0, bench.backends.get(0).waiting());
+        }
+    }
+}
