Hand a request over only once all that came with it is read

Need: as before, for a request that waited in the listener's queue (descriptors short, a loop that stood still) together with its client's FIN or reset: it was sent on first, and the leaving was read in the next turn. So was the next of several requests, where the first one's answer and the leaving came in one turn.

Change: a connection is read to its end (up to 16 reads, past a short one), and a whole request goes to the driver after all sockets of the turn were read, if its connection still stands. One more read a request.

Tests: CrossingTest.aRequestThatCameTogetherWithItsClientsLeaving... and theNextOfSeveralRequests... (FIN, reset, half-close, the proxy's loop held while all of it arrives); on the old code they fail, the request that is gone comes first.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -77,6 +77,9 @@
      */
     private static final long STRANGER_MS = 2_500;
 
+    /** Reads of one connection in a turn: a request of the usual size, and the end behind it. */
+    private static final int MOST_READS = 16;
+
     private final EventLoop loop;
     private final Sockets sockets;
     private final Driver driver;
@@ -123,7 +126,9 @@
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, Sockets.readBuffers())
+                // To the end of what is there, also past a short read: whoever sent it may have left.
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, Sockets.readBuffers()
+                        .respectMaybeMoreData(false).maxMessagesPerRead(MOST_READS))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -348,6 +353,8 @@
         private Driver.Inbound asked;
         private Rejected rejected;
         private boolean keep;
+        /** A whole request, until all that came in the same turn of the loop has been read; else null. */
+        private Driver.Inbound ready;
         /** Handed to the driver and not answered yet. */
         private boolean busy;
         private Driver.Held held;
@@ -574,7 +581,19 @@
             } else if (isHealth()) {
                 answer(health(head.uri()), null, null, -1);
             } else {
-                dispatch(asked.with(all, null, atUs));
+                idleOf().remove(this);
+                proper = true;
+                ready = asked.with(all, null, atUs);
+                loop.execute(this::dispatchReady);
+            }
+        }
+
+        /** The client may have left together with its request: that is known now. */
+        private void dispatchReady() {
+            Driver.Inbound inbound = ready;
+            ready = null;
+            if (inbound != null && channel.isActive() && !closing) {
+                dispatch(inbound);
             }
         }
 
@@ -652,6 +671,7 @@
         /** Nothing that comes counts from here on. */
         private void close() {
             closing = true;
+            ready = null;
             idleOf().remove(this);
             patience(null);
             releaseBody();
--- a/src/main/java/larkworks/proxy/Sockets.java
+++ b/src/main/java/larkworks/proxy/Sockets.java
@@ -1,7 +1,6 @@
 package larkworks.proxy;
 
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
-import io.netty.channel.RecvByteBufAllocator;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 
@@ -44,7 +43,7 @@
     }
 
     /** What is read at a time: enough for large bodies, and little where many come at once. */
-    static RecvByteBufAllocator readBuffers() {
+    static AdaptiveRecvByteBufAllocator readBuffers() {
         return new AdaptiveRecvByteBufAllocator(512, 2048, 32 << 10);
     }
 
--- a/src/test/java/larkworks/proxy/CrossingTest.java
+++ b/src/test/java/larkworks/proxy/CrossingTest.java
@@ -113,6 +113,31 @@
         }
     }
 
+    @ParameterizedTest
+    @EnumSource(Leaving.class)
+    void aRequestThatCameTogetherWithItsClientsLeavingIsNotSentOn(Leaving way) throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            // As from the listener's queue, in which both wait while descriptors run short.
+            bench.inOneTurn(() -> way.leave(bench.client().look("gone")));
+            assertNextIsAnother(bench, 0);
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Leaving.class)
+    void theNextOfSeveralRequestsIsNotSentOnAfterTheClientLeft(Leaving way) throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            Bench.Client client = bench.client().look("a").look("b");
+            Peer.Message sent = bench.backends.get(0).next();
+            bench.inOneTurn(() -> {
+                // The answer to the first is read, and the leaving in the same turn.
+                sent.reply(200, "");
+                way.leave(client);
+            });
+            assertNextIsAnother(bench, 0);
+        }
+    }
+
     // ---- requests behind one another on a connection
 
     @Test
