Read a large body on while it waits for a backend, so that its client's leaving is seen

An upload that no backend had taken yet was read up to 64 KiB and then no further, so that neither FIN nor reset was noticed; once a backend was free its head and first part went there for nobody.

Change: Upload holds what comes while it waits, within the common bound of held bodies (8 MB), past which the request is refused as others are for which there is no room. What was written counts as held until it has left the write buffer. Its time, which runs from its last byte, now begins when that byte came, not when a backend had made room for it.

Test: CrossingTest.aLargeBodyThatWaitsForABackend... (FIN, reset, half-close): on the old code a connection opens for it.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -523,6 +523,9 @@
             }
             boolean last = content instanceof LastHttpContent;
             if (upload != null) {
+                if (upload.waits()) {
+                    hold(part.readableBytes());
+                }
                 upload.part(part.retain());
             } else if (rejected == null && !isHealth()) {
                 hold(part.readableBytes());
--- a/src/main/java/larkworks/proxy/Upload.java
+++ b/src/main/java/larkworks/proxy/Upload.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -14,9 +15,10 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The body of a request on its way from a client to a backend, too large to be held whole. Its first part is
- * kept as long as that is all that has come, so that it can go to another backend; what comes then is written
- * as it comes. The client is read only while there is room.
+ * The body of a request on its way from a client to a backend, too large to be held whole. What came before a
+ * backend takes it is kept, and can go to another one until more than a small part was written; what comes
+ * then is written as it comes. While it waits for a backend the client is read on, within the common bound of
+ * held bodies, as only reading shows that it has gone; else only while there is room.
  */
 final class Upload {
 
@@ -42,6 +44,8 @@
     private ByteBuf held;
     /** The part of it that was written to the backend. */
     private int sent;
+    /** The latest write of what is held, or null. */
+    private ChannelFuture last;
     private Channel backend;
     private ChannelFutureListener written;
     private boolean complete;
@@ -98,6 +102,11 @@
         }
     }
 
+    /** Whether no backend takes it now, so that what comes has to be held. */
+    boolean waits() {
+        return backend == null && held != null && !discarded;
+    }
+
     /** Takes the next part from the client. */
     void part(ByteBuf content) {
         if (discarded || held == null && backend == null) {
@@ -139,8 +148,7 @@
         if (discarded) {
             return;
         }
-        boolean room = backend != null ? backend.isWritable()
-                : held != null && held.readableBytes() <= BackendPool.MOST_BODY;
+        boolean room = backend == null || backend.isWritable();
         if (room && paused) {
             pausedNanos += System.nanoTime() - pausedAt;
         } else if (!room && !paused) {
@@ -165,7 +173,7 @@
             return;
         }
         if (sent < held.writerIndex()) {
-            backend.write(new DefaultHttpContent(held.retainedSlice(sent, held.writerIndex() - sent)));
+            last = backend.write(new DefaultHttpContent(held.retainedSlice(sent, held.writerIndex() - sent)));
             sent = held.writerIndex();
         }
         if (complete) {
@@ -185,7 +193,12 @@
         if (held != null) {
             held.release();
             held = null;
-            onReleased.run();
+            if (last == null) {
+                onReleased.run();
+            } else {
+                // Until it has been written the backend's buffer holds it.
+                last.addListener(written -> onReleased.run());
+            }
         }
     }
 }
--- a/src/test/java/larkworks/proxy/CrossingTest.java
+++ b/src/test/java/larkworks/proxy/CrossingTest.java
@@ -85,6 +85,22 @@
         }
     }
 
+    @ParameterizedTest
+    @EnumSource(Leaving.class)
+    void aLargeBodyThatWaitsForABackendIsNotSentOnAfterItsClientLeft(Leaving way) throws Exception {
+        try (Bench bench = new Bench(1).start(folder, NOBODY)) {
+            Bench.Client client = bench.client().post("pay", "gone", "x".repeat(1 << 20),
+                    "Idempotency-Key: k\r\n");
+            bench.settle();
+            way.leave(client);
+            bench.settle();
+            bench.discovery.next().reply(200, bench.all(2));
+            bench.discovery.next();
+            assertNextIsAnother(bench, 0);
+            assertEquals(1, bench.backends.get(0).connections(), "none for the one that left");
+        }
+    }
+
     @ParameterizedTest
     @EnumSource(Leaving.class)
     void aClientThatLeavesWhileItsBodyComesHasNothingSentOn(Leaving way) throws Exception {
