Register the end before clients can connect, and bar probes to drained backends too

Found by reading: the shutdown hook came after the listener, so that a SIGTERM between them ended the process with connections in its queue; the moment lies between two calls and can't be forced from outside, so no test fails on the old code. A probe whose connection came up late looked only at backends called out, not at drains; it is given up after 50 ms, so that this matters for graces under 150 ms only.

Tests, which hold on the old code as well: signals that come together (SIGHUP, SIGTERM twice, SIGHUP), a connection that comes up after its client left, a waiting request's timer and its client's leaving in one turn, an answer as its time ends.

--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -761,11 +761,9 @@
      */
     private HttpRequest message(Try attempt, Backend backend) {
         long now = clock.nowUs();
-        boolean down = backend.status != ServerStatus.UP
-                && now >= backend.downSinceUs + settings.rules().drainGraceUs() - GRACE_MARGIN_US;
         Inbound in = attempt.held.inbound;
         long leftMs = attempt.held.uploading() ? in.timeLeftUs() / 1000 : (attempt.untilUs - now) / 1000;
-        if (attempt.ended || attempt.held.over || down || out.contains(attempt.server) || leftMs <= 0) {
+        if (attempt.ended || attempt.held.over || barred(attempt.server, backend) || leftMs <= 0) {
             return null;
         }
         HttpRequest message = in.upload() == null
@@ -791,6 +789,12 @@
         return message;
     }
 
+    /** Whether nothing may begin at a backend: it was called out, or drains for most of its grace. */
+    private boolean barred(String server, Backend backend) {
+        return out.contains(server) || backend.status != ServerStatus.UP && clock.nowUs()
+                >= backend.downSinceUs + settings.rules().drainGraceUs() - GRACE_MARGIN_US;
+    }
+
     private static String host(InetSocketAddress address) {
         return address.getHostString() + ":" + address.getPort();
     }
@@ -838,7 +842,7 @@
             probed(probe, Answer.of(Outcome.TIMEOUT));
         }, PROBE_US, TimeUnit.MICROSECONDS);
         probe.exchange = pool.begin(backend.address, () -> {
-            if (out.contains(server)) {
+            if (barred(server, backend)) {
                 return null;
             }
             FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -158,6 +158,11 @@
         warm = true;
     }
 
+    /** Whether clients can connect. */
+    boolean listens() {
+        return listener != null && listener.isActive();
+    }
+
     /** From now on not ready, and each answer closes its connection; new connections still come. */
     void drain() {
         draining = true;
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -105,11 +105,12 @@
             main.adoption = new Adoption(config, main.loop, main.driver,
                     patch -> Config.read(file, System.getenv(), flags, patch).settings());
         }
-        main.start();
+        // Before anything is listened for: what comes then is finished, however early the signal is.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             main.finish();
             Logs.stop();
         }));
+        main.start();
         main.awaitServing();
     }
 
@@ -295,6 +296,10 @@
     private void finish() {
         loop.execute(() -> {
             long toldUs = driver.clock().nowUs();
+            if (!frontend.listens()) {
+                finished.countDown();
+                return;
+            }
             frontend.drain();
             if (adoption != null) {
                 adoption.close();
--- a/src/test/java/larkworks/proxy/CrossingTest.java
+++ b/src/test/java/larkworks/proxy/CrossingTest.java
@@ -4,9 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -154,6 +160,74 @@
         }
     }
 
+    @Test
+    void aConnectionThatComesUpAfterTheClientLeftIsNotWrittenTo() throws Exception {
+        List<Socket> fillers = new ArrayList<>();
+        try (Bench bench = new Bench(0); ServerSocket full = new ServerSocket(0, 1,
+                InetAddress.getByName("127.0.0.1"))) {
+            bench.connectTimeoutUs = 25_000_000;
+            // With its queue of connections full the system drops new ones, and the proxy's connect hangs.
+            for (int i = 0; i < 2; i++) {
+                fillers.add(new Socket(full.getInetAddress(), full.getLocalPort()));
+            }
+            bench.start(folder, Bench.list(1, true, Bench.entry("b", "127.0.0.1:" + full.getLocalPort(),
+                    "in_service")));
+            Bench.Client client = bench.client().look("gone");
+            bench.settle();
+            client.socket().close();
+            bench.settle();
+            full.accept().close();
+            full.accept().close();
+            Bench.Client other = bench.client().look("other");
+            try (Socket came = full.accept()) {
+                Peer.Message sent = Peer.Message.read(new BufferedInputStream(came.getInputStream()), came,
+                        new CountDownLatch(1));
+                assertEquals("other", sent.header("X-Call-Id"));
+                sent.reply(200, "for another");
+                assertEquals("for another", other.answer().text());
+            }
+        } finally {
+            for (Socket socket : fillers) {
+                socket.close();
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Leaving.class)
+    void theTimerOfARequestThatWaitsFindsItsClientGone(Leaving way) throws Exception {
+        try (Bench bench = new Bench(1).start(folder, NOBODY)) {
+            Bench.Client client = bench.client().look("gone");
+            bench.settle();
+            // A server that joins has its first turn after up to an aim, 2 s; the request waits for that.
+            bench.discovery.next().reply(200, bench.all(2));
+            bench.discovery.next();
+            bench.inOneTurn(() -> {
+                way.leave(client);
+                Thread.sleep(2_500);
+            });
+            assertNextIsAnother(bench, 0);
+        }
+    }
+
+    // ---- an answer and the end of its time
+
+    @Test
+    void anAnswerThatComesAsItsTimeEndsIsGivenOnceOrNotAtAll() throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            Bench.Client client = bench.client().look("a", 300);
+            Peer.Message sent = bench.backends.get(0).next();
+            bench.inOneTurn(() -> {
+                sent.reply(200, "a");
+                Thread.sleep(400);
+            });
+            assertTrue(List.of("200", "502").contains(client.answer().line().split(" ")[1]));
+            client.look("b");
+            bench.backends.get(0).next().reply(200, "b");
+            assertEquals("b", client.answer().text());
+        }
+    }
+
     // ---- requests behind one another on a connection
 
     @Test
--- a/src/test/java/larkworks/proxy/ProcessTest.java
+++ b/src/test/java/larkworks/proxy/ProcessTest.java
@@ -121,6 +121,33 @@
         }
     }
 
+    @Test
+    void finishesWhatItHasTakenWhateverSignalsComeTogether() throws Exception {
+        int port = Bench.freePort();
+        try (Bench bench = new Bench(1)) {
+            bench.at(port);
+            Process process = start(bench.config(port, bench.all(1)));
+            try {
+                connect(bench).socket().close();
+                Bench.Client client = bench.client().look("in flight");
+                Peer.Message sent = bench.backends.get(0).next();
+                Bench.Client half = bench.client().send("GET /look HTTP/1.1\r\nHost: x\r\n");
+                hangUp(process);
+                process.destroy();
+                process.destroy();
+                hangUp(process);
+                sent.reply(200, "finished");
+                assertEquals("finished", client.answer().text());
+                half.send("X-Call-Id: half\r\nX-Call-Class: look\r\n\r\n");
+                bench.backends.get(0).next().reply(200, "whole");
+                assertEquals("whole", half.answer().text());
+                assertTrue(process.waitFor(Peer.LIMIT_S, TimeUnit.SECONDS));
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     void turnsToAnotherDiscoveryAtSighupAndOutlivesABadConfiguration() throws Exception {
         int port = Bench.freePort();
