--- a/src/main/java/larkworks/cli/MembersCommand.java
+++ b/src/main/java/larkworks/cli/MembersCommand.java
@@ -47,11 +47,16 @@
     }
 
     private byte[] get() throws IOException {
-        String address = admin.getAddress().getHostAddress() + ":" + admin.getPort();
+        String address = name(admin);
         HttpURLConnection call = (HttpURLConnection) URI.create("http://" + address + "/ops/members").toURL()
                 .openConnection();
         call.setConnectTimeout(PATIENCE_MS);
         call.setReadTimeout(PATIENCE_MS);
+        try {
+            call.connect();
+        } catch (IOException e) {
+            throw unreachable(admin, e);
+        }
         if (call.getResponseCode() != HttpURLConnection.HTTP_OK) {
             try (InputStream said = call.getErrorStream()) {
                 throw new IOException(address + ": " + call.getResponseCode() + " "
--- a/src/main/java/larkworks/platform/ConfigFile.java
+++ b/src/main/java/larkworks/platform/ConfigFile.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.nio.file.Files;
+import java.nio.file.AccessDeniedException;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.List;
@@ -54,7 +55,11 @@
             throw unusable(file, where + firstLine(e.getOriginalMessage()));
         } catch (NoSuchFileException e) {
             throw unusable(file, "no such file");
-        } catch (IOException | RuntimeException e) {
+        } catch (AccessDeniedException e) {
+            throw unusable(file, "may not be read");
+        } catch (IOException e) {
+            throw unusable(file, firstLine(e.getMessage()));
+        } catch (RuntimeException e) {
             throw unusable(file, firstLine(e.getMessage()) + " (" + e.getClass().getSimpleName() + ")");
         }
     }
