--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -296,7 +296,8 @@
     private void finish() {
         loop.execute(() -> {
             long toldUs = driver.clock().nowUs();
-            if (!frontend.listens()) {
+            if (!frontend.listens() && member == null) {
+                // Nothing was taken, and nobody is to be told.
                 finished.countDown();
                 return;
             }
