Let a watch wait 3.5 s, so that its silence is noticed before what it misses counts as told

A watch that fell silent early was given up 7 s after its call, exactly when what it missed counted as told (2 s after its wait of 5 s); then came a pause of 0.21 to 0.46 s and the call. Watches end more often, by two fifths.

Test: ProxyTest.aWatchWaitsNoLongerThanItsSilenceMayTake adds wait, silence and the longest first pause: 7.46 s before, 5.96 s now.

--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -42,8 +42,11 @@
     private static final String PATH = "/registry/instances";
     /** Our own list service tells by it which data it holds; see {@code larkworks.registry}. */
     private static final String EPOCH = "X-Registry-Epoch";
-    /** How long a watch may wait: short, so that one on a connection gone silent is soon given up. */
-    private static final long WAIT_MS = 5_000;
+    /**
+     * How long a watch may wait. What one misses counts as told 6 s after it fell silent, which may be at its
+     * beginning: by then its silence must have been noticed, and half a second of pause be over.
+     */
+    private static final long WAIT_MS = 3_500;
     /** An answer later than this is taken to be lost. */
     private static final long SILENCE_MS = 2_000;
     /** An answer that has begun and stops for so long is given up: its news may be of a drain. */
--- a/src/test/java/larkworks/proxy/ProxyTest.java
+++ b/src/test/java/larkworks/proxy/ProxyTest.java
@@ -405,6 +405,19 @@
         }
     }
 
+    /** What a silent watch misses counts as told after 6 s; until then a new one must be open. */
+    @Test
+    void aWatchWaitsNoLongerThanItsSilenceMayTake() throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            bench.discovery.next().reply(200, bench.all(1));
+            String watch = bench.discovery.next().line();
+            long wait = Long.parseLong(watch.replaceFirst(".*&wait=([0-9]+) .*", "$1"));
+            long silence = 2_000;
+            long pause = 460;
+            assertTrue(wait + silence + pause < 6_000, watch);
+        }
+    }
+
     /** Sooner, the call would go on with the watch that failed, and all that is missed count as told. */
     @Test
     void asksNotAgainWithinTheTimeThatAWatchGoesOn() throws Exception {
