Name an IPv4 address as text in one place

The command line and the list service each wrote host:port by hand; Addresses.text is the counterpart of Addresses.parse and serves both. No change of behaviour.

--- a/src/main/java/larkworks/cli/Common.java
+++ b/src/main/java/larkworks/cli/Common.java
@@ -2,19 +2,16 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import larkworks.platform.Addresses;
 import picocli.CommandLine.Command;
 
 /** What every command has: {@code --help} and {@code --version}. */
 @Command(mixinStandardHelpOptions = true, versionProvider = Version.class)
 abstract class Common {
 
-    static String name(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
-
     /** A failure to reach an address, which the system's own messages don't name. */
     static IOException unreachable(InetSocketAddress address, IOException cause) {
-        return new IOException(name(address) + ": " + (cause instanceof java.net.ConnectException
+        return new IOException(Addresses.text(address) + ": " + (cause instanceof java.net.ConnectException
                 ? "can't connect" : cause.getMessage()), cause);
     }
 }
--- a/src/main/java/larkworks/cli/MembersCommand.java
+++ b/src/main/java/larkworks/cli/MembersCommand.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import larkworks.adapter.Json;
+import larkworks.platform.Addresses;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -47,7 +48,7 @@
     }
 
     private byte[] get() throws IOException {
-        String address = name(admin);
+        String address = Addresses.text(admin);
         HttpURLConnection call = (HttpURLConnection) URI.create("http://" + address + "/ops/members").toURL()
                 .openConnection();
         call.setConnectTimeout(PATIENCE_MS);
--- a/src/main/java/larkworks/cli/RolloutCommand.java
+++ b/src/main/java/larkworks/cli/RolloutCommand.java
@@ -12,6 +12,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import larkworks.platform.Addresses;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -64,7 +65,7 @@
 
     private int call(String method, String path, BodyPublisher body)
             throws IOException, InterruptedException {
-        URI uri = URI.create("http://" + name(registry) + "/registry/v1/rollout" + path);
+        URI uri = URI.create("http://" + Addresses.text(registry) + "/registry/v1/rollout" + path);
         HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
                 .connectTimeout(PATIENCE).build();
         HttpResponse<String> answer;
--- a/src/main/java/larkworks/platform/Addresses.java
+++ b/src/main/java/larkworks/platform/Addresses.java
@@ -10,6 +10,11 @@
 
     private Addresses() { }
 
+    /** An address as {@link #parse} reads it, IPv4. */
+    public static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     /**
      * Reads {@code host:port}, the host an IPv4 or bracketed IPv6 literal in full: a look-up of a name would
      * stop the loop.
--- a/src/main/java/larkworks/registry/Registry.java
+++ b/src/main/java/larkworks/registry/Registry.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import larkworks.platform.Addresses;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -72,7 +73,7 @@
                     bound.cause());
         }
         address = (InetSocketAddress) bound.channel().localAddress();
-        LOG.atInfo().addKeyValue("address", address.getAddress().getHostAddress() + ":" + address.getPort())
+        LOG.atInfo().addKeyValue("address", Addresses.text(address))
                 .addKeyValue("index", store.catalog().index())
                 .addKeyValue("instances", store.catalog().size())
                 .addKeyValue("start_ms", (System.nanoTime() - begun) / 1_000_000).log("serving");
