Tell on the loop that the system gave no socket, and count none for it

Symptom, by reading: where no channel can be made, Netty's future has a channel without a loop. Its listeners run on another thread, so the driver and the module were entered from there beside the loop, before the exchange was handed out; its closing is never told, so that discovery's socket stayed counted. Ruled out: a failed connect, whose channel is registered and tells of its end on the loop. Sockets.connect now owns this for backends and discovery; the pool's own flag against counting twice is gone. A call to discovery that moved meanwhile is not failed by what an earlier one hears late. BackendPoolTest.tellsOnTheLoopThatTheSystemGaveNoSocket fails with the old connect (told on a foreign thread, first).

--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -5,8 +5,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelException;
-import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -62,10 +61,16 @@
     private Set<InetSocketAddress> retired = Set.of();
 
     BackendPool(EventLoop loop, Sockets sockets, long connectTimeoutUs, long keepAliveUs) {
+        this(loop, sockets, connectTimeoutUs, keepAliveUs, NioSocketChannel::new);
+    }
+
+    /** With a way of getting channels, which a test may have fail. */
+    BackendPool(EventLoop loop, Sockets sockets, long connectTimeoutUs, long keepAliveUs,
+            ChannelFactory<NioSocketChannel> channels) {
         this.loop = loop;
         this.sockets = sockets;
         this.idleUs = Math.max(keepAliveUs / 2, keepAliveUs - IDLE_MARGIN_US);
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.bootstrap = new Bootstrap().group(loop).channelFactory(channels)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, Sockets.readBuffers())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1000));
@@ -93,25 +98,23 @@
 
     private void connect(InetSocketAddress address, Exchange exchange) {
         Connection connection = new Connection(address);
-        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+        Bootstrap own = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
                 channel.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(), connection);
             }
-        }).connect(address);
-        connection.channel = connecting.channel();
-        connecting.channel().closeFuture().addListener(closed -> connection.release());
-        exchange.connection = connection;
-        connecting.addListener(done -> {
-            if (done.isSuccess()) {
+        });
+        connection.channel = sockets.connect(own, loop, address, connected -> {
+            if (connected == null) {
+                // No descriptor was to be had, which says nothing about the backend.
+                exchange.end(Answer.of(Outcome.NOT_SENT));
+            } else if (connected.isSuccess()) {
                 exchange.write(connection);
             } else {
-                // Where the system gave no socket there is no channel that could tell of its closing.
-                connection.release();
-                exchange.end(Answer.of(done.cause() instanceof ChannelException ? Outcome.NOT_SENT
-                        : Outcome.CONNECT_FAILED));
+                exchange.end(Answer.of(Outcome.CONNECT_FAILED));
             }
         });
+        exchange.connection = connection.channel == null ? null : connection;
     }
 
     /** The connection used last: the others then grow old and close, and a warm one serves. */
@@ -401,7 +404,6 @@
         /** The answer to the current exchange, until all that came with it has been read. */
         private Answer answer;
         private boolean reusable;
-        private boolean released;
         private long idleSince;
         private Future<?> expiry;
 
@@ -409,13 +411,6 @@
             this.address = address;
         }
 
-        private void release() {
-            if (!released) {
-                released = true;
-                sockets.release();
-            }
-        }
-
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject object) {
             if (object.decoderResult().isFailure()) {
--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -158,12 +158,13 @@
         }
         calling = true;
         begun = false;
-        calledAt = System.nanoTime();
+        long from = System.nanoTime();
+        calledAt = from;
         limit((index < 0 ? 0 : WAIT_MS) + SILENCE_MS);
         if (channel != null && channel.isActive()) {
             write(channel);
         } else if (sockets.take()) {
-            var connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            Bootstrap own = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) SILENCE_MS)
                     .handler(new ChannelInitializer<SocketChannel>() {
@@ -173,18 +174,25 @@
                                     new HttpRequestEncoder(), new ResponseDecoder(),
                                     new HttpObjectAggregator(MOST_LIST), new Reader());
                         }
-                    }).connect(addresses.get(at));
-            channel = connecting.channel();
-            channel.closeFuture().addListener(done -> sockets.release());
-            connecting.addListener(done -> {
-                if (done.isSuccess()) {
-                    write(connecting.channel());
+                    });
+            channel = sockets.connect(own, loop, addresses.get(at), connected -> {
+                if (connected == null) {
+                    noSocket(from);
+                } else if (connected.isSuccess()) {
+                    write(connected.channel());
                 } else {
-                    lost(connecting.channel());
+                    lost(connected.channel());
                 }
             });
         } else {
-            loop.execute(this::failed);
+            loop.execute(() -> noSocket(from));
+        }
+    }
+
+    /** Told of late: by then discovery may have moved, and another call be out. */
+    private void noSocket(long from) {
+        if (from == calledAt) {
+            failed();
         }
     }
 
--- a/src/main/java/larkworks/proxy/Sockets.java
+++ b/src/main/java/larkworks/proxy/Sockets.java
@@ -1,8 +1,14 @@
 package larkworks.proxy;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 /**
  * Counts the sockets of this process against its limit. At the limit, strangers' silent connections go first,
@@ -73,6 +79,26 @@
         return true;
     }
 
+    /**
+     * Connects with a socket that was taken, which counts until the connection has closed.
+     *
+     * @param told on the loop, never before this returns, whether it came up; null: the system gave no socket
+     * @return the connection on its way, or null where the system gave no socket
+     */
+    Channel connect(Bootstrap bootstrap, EventLoop loop, InetSocketAddress address,
+            Consumer<ChannelFuture> told) {
+        ChannelFuture connecting = bootstrap.connect(address);
+        if (!connecting.channel().isRegistered() && connecting.isDone()) {
+            // Such a channel has no loop: it never tells of its closing, and its listeners run elsewhere.
+            release();
+            loop.execute(() -> told.accept(null));
+            return null;
+        }
+        connecting.channel().closeFuture().addListener(closed -> release());
+        connecting.addListener(done -> told.accept(connecting));
+        return connecting.channel();
+    }
+
     /** Counts a client's connection, which is there already; false where there should be no further one. */
     boolean accepted() {
         open++;
--- a/src/test/java/larkworks/proxy/BackendPoolTest.java
+++ b/src/test/java/larkworks/proxy/BackendPoolTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
+import io.netty.channel.ChannelException;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -13,6 +15,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import larkworks.Balancer.LoadReport;
 import larkworks.Balancer.Outcome;
 import org.junit.jupiter.api.AfterEach;
@@ -79,6 +82,37 @@
         assertEquals(2, backend.connections());
     }
 
+    /** Where the system itself has none, the receiver hears of it on the loop, and nothing stays counted. */
+    @Test
+    void tellsOnTheLoopThatTheSystemGaveNoSocket() throws Exception {
+        Sockets sockets = new Sockets(16, 0);
+        AtomicBoolean none = new AtomicBoolean(true);
+        BackendPool pool = new BackendPool(group.next(), sockets, 5_000_000, 10_000_000, () -> {
+            if (none.get()) {
+                throw new ChannelException("too many open files");
+            }
+            return new NioSocketChannel();
+        });
+        BlockingQueue<Boolean> onLoop = new LinkedBlockingQueue<>();
+        group.next().execute(() -> {
+            BackendPool.Exchange exchange = pool.begin(Config.address(backend.address()),
+                    BackendPoolTest::request, a -> {
+                        outcomes.add(a.outcome());
+                        onLoop.add(group.next().inEventLoop());
+                    });
+            outcomes.add(exchange.begun() ? Outcome.OK : Outcome.CANCELLED);
+        });
+        assertEquals(Outcome.CANCELLED, outcome(), "nothing is told before the exchange is handed out");
+        assertEquals(Outcome.NOT_SENT, outcome());
+        assertEquals(true, onLoop.poll(Peer.LIMIT_S, TimeUnit.SECONDS));
+        assertEquals(0, sockets.open());
+        none.set(false);
+        begin(pool, backend, request());
+        backend.next().reply(200, "");
+        assertEquals(Outcome.OK, outcome());
+        assertEquals(1, sockets.open());
+    }
+
     @Test
     void closesAnIdleConnectionToMakeRoomForAnotherBackend() throws Exception {
         try (Peer other = new Peer()) {
