Count a drain missed during a failed watch from when all was last known

Need: where lists are pushed, a drain that discovery gets while the proxy's watch is broken counts before the proxy hears of it. Connections still coming up then were written to for a grace from the hearing on. Discovery now tells the driver since when what it brings may count: from the start, or from the first failed call after an answered one. Lists that are asked for count as told when written, as before. ProxyTest.sendsNothingToABackendWhoseDrainWasMissed... fails with the old code: the request is written 0.5 s after the list, 3 s after the failure, at a grace of 2 s.

--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -86,6 +86,11 @@
     private boolean begun;
     private long begunAt;
     private long calledAt;
+    /**
+     * Since when what is not known here may count as told, by the driver's clock: where lists are pushed, what
+     * the agent has counts whether or not it was asked. The greatest value while each change is told at once.
+     */
+    private long unsureUs;
     private boolean closed;
     private boolean heard;
 
@@ -97,6 +102,7 @@
         this.loop = loop;
         this.sockets = sockets;
         this.driver = driver;
+        this.unsureUs = asked ? Long.MAX_VALUE : driver.clock().nowUs();
         // With a grace of drains shorter than the pause, word of one could come only once that is over.
         this.mostPauseMs = Math.max(FIRST_PAUSE_MS, Math.min(MOST_PAUSE_MS,
                 config.settings().rules().drainGraceUs() / 1000 * 2 / 5));
@@ -249,6 +255,7 @@
         if (asked) {
             driver.discoveryFailed();
         } else {
+            unsureUs = Math.min(unsureUs, driver.clock().nowUs());
             // With jitter, lest all proxies come back to a service that was down at the same moment.
             loop.schedule(this::call, pauseMs * 3 / 4 + jitter.nextLong(pauseMs / 2 + 1),
                     TimeUnit.MILLISECONDS);
@@ -288,7 +295,9 @@
         } else {
             call();
         }
-        driver.listChanged(listing.whole() ? ListKind.WHOLE : ListKind.CHANGES, listing.entries());
+        long toldUs = Math.min(unsureUs, driver.clock().nowUs());
+        unsureUs = Long.MAX_VALUE;
+        driver.listChanged(listing.whole() ? ListKind.WHOLE : ListKind.CHANGES, listing.entries(), toldUs);
     }
 
     /** Whether changes may be applied to the list held; where not, the whole list is wanted next. */
--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -412,7 +412,12 @@
 
     // ---- events
 
-    void listChanged(ListKind kind, List<Listing.Entry> entries) {
+    /**
+     * A list came, or changes of it.
+     *
+     * @param toldUs since when what it tells may count as told, by the driver's clock
+     */
+    void listChanged(ListKind kind, List<Listing.Entry> entries, long toldUs) {
         if (shared != null) {
             // Before the module sees a cold server, it must know what it may send there.
             shared.listed(kind == ListKind.CHANGES, entries.stream().map(Listing.Entry::server).toList());
@@ -428,13 +433,13 @@
                 Backend b = backends.computeIfAbsent(entry.server().id(), id -> new Backend());
                 b.address = entry.address() == null ? b.address : entry.address();
                 b.listed = entry.server().status() == ServerStatus.UP ? entry.server() : null;
-                down(now, b, entry.server().status());
+                down(toldUs, b, entry.server().status());
             }
             if (kind == ListKind.WHOLE) {
                 backends.forEach((id, b) -> {
                     if (!listed.contains(id)) {
                         b.listed = null;
-                        down(now, b, ServerStatus.GONE);
+                        down(toldUs, b, ServerStatus.GONE);
                     }
                 });
             }
@@ -489,9 +494,9 @@
         }
     }
 
-    private static void down(long now, Backend b, ServerStatus status) {
+    private static void down(long toldUs, Backend b, ServerStatus status) {
         if (status != ServerStatus.UP && (b.status == null || b.status == ServerStatus.UP)) {
-            b.downSinceUs = now;
+            b.downSinceUs = toldUs;
         }
         b.status = status;
     }
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -150,7 +150,8 @@
         maintenance = shared ? maintenance() : null;
         loop.submit(() -> {
             driver.listChanged(ListKind.REMEMBERED,
-                    config.known() == null ? List.of() : config.known().entries());
+                    config.known() == null ? List.of() : config.known().entries(),
+                    driver.clock().nowUs());
             if (shared) {
                 maintenance.start();
             }
--- a/src/test/java/larkworks/proxy/ProxyTest.java
+++ b/src/test/java/larkworks/proxy/ProxyTest.java
@@ -286,6 +286,35 @@
         }
     }
 
+    /**
+     * Where lists are pushed, a drain counts from when discovery is back, not from when the proxy asks again:
+     * its grace has run from the last time at which all was known.
+     */
+    @Test
+    void sendsNothingToABackendWhoseDrainWasMissedForAsLongAsItsGrace() throws Exception {
+        try (Bench bench = new Bench(0); Hanging backend = new Hanging()) {
+            bench.connectTimeoutUs = 25_000_000;
+            bench.drainGraceUs = 2_000_000;
+            String up = Bench.list(1, true, Bench.entry("b", backend.address(), "in_service"));
+            bench.start(folder, up);
+            bench.discovery.next().reply(200, up);
+            Peer.Message watch = bench.discovery.next();
+            Bench.Client client = bench.client().look("r");
+            bench.settle();
+            watch.reply(503, "");
+            Peer.Message again = bench.discovery.next();
+            // That time passes is what the test is about: the grace from the failure on is over, and one from
+            // the list on is not when the connection comes up, which the system tries after 1 s and after 3 s.
+            Thread.sleep(2_500);
+            again.reply(200, Bench.list(2, true, Bench.entry("b", backend.address(), "terminating")));
+            bench.discovery.next();
+
+            Socket late = backend.accept();
+            assertEquals(503, client.status());
+            assertTrue(Hanging.silent(late), "a byte came");
+        }
+    }
+
     /** A drain that counts as discovery returns must be heard of within its grace. */
     @Test
     void asksADiscoveryThatIsDownMoreOftenThanTheGraceOfDrainsLasts() throws Exception {
