Call clients only once a pushed list has come, or cannot be had

Need: what a pushed list has counts as told from the first moment of a new process, while the list known from before may name backends that drain. A process was ready after its warm-up, whether the first answer had come or not. ProxyTest.isReadyOnlyOnceAPushedListIsKnownOrCanNotBeHad fails with the old code (200 in place of 503). One test asked for readiness with the first call unanswered; it answers the call now, as discovery does.

--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -93,6 +93,9 @@
     private long unsureUs;
     private boolean closed;
     private boolean heard;
+    /** Whether the first call has ended; where lists are asked for, they count only when they come. */
+    private boolean settled;
+    private Runnable whenSettled = () -> { };
 
     Discovery(Config config, EventLoop loop, Sockets sockets, Driver driver) {
         this.addresses = config.discovery();
@@ -102,6 +105,7 @@
         this.loop = loop;
         this.sockets = sockets;
         this.driver = driver;
+        this.settled = asked;
         this.unsureUs = asked ? Long.MAX_VALUE : driver.clock().nowUs();
         // With a grace of drains shorter than the pause, word of one could come only once that is over.
         this.mostPauseMs = Math.max(FIRST_PAUSE_MS, Math.min(MOST_PAUSE_MS,
@@ -125,6 +129,21 @@
         return heard;
     }
 
+    /** Runs the action, once, as soon as nothing is on its way that may count as told already. */
+    void whenSettled(Runnable action) {
+        whenSettled = action;
+        if (settled) {
+            settle();
+        }
+    }
+
+    private void settle() {
+        settled = true;
+        Runnable action = whenSettled;
+        whenSettled = () -> { };
+        action.run();
+    }
+
     void close() {
         closed = true;
         if (channel != null) {
@@ -261,6 +280,7 @@
                     TimeUnit.MILLISECONDS);
             pauseMs = Math.min(2 * pauseMs, mostPauseMs);
         }
+        settle();
     }
 
     private void answered(FullHttpResponse response) {
@@ -298,6 +318,7 @@
         long toldUs = Math.min(unsureUs, driver.clock().nowUs());
         unsureUs = Long.MAX_VALUE;
         driver.listChanged(listing.whole() ? ListKind.WHOLE : ListKind.CHANGES, listing.entries(), toldUs);
+        settle();
     }
 
     /** Whether changes may be applied to the list held; where not, the whole list is wanted next. */
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -175,7 +175,9 @@
                 listener.close();
                 serveOnceListed(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIST_WAIT_MS));
             } else {
-                serve(self);
+                serving.trySuccess(self);
+                // What discovery has may count as told from the first moment on.
+                discovery.whenSettled(this::ready);
             }
         }));
     }
@@ -241,19 +243,19 @@
         ChannelFuture bound = frontend.listen(config.listen(), true);
         bound.addListener(done -> {
             if (done.isSuccess()) {
-                serve((InetSocketAddress) bound.channel().localAddress());
+                ready();
+                serving.trySuccess((InetSocketAddress) bound.channel().localAddress());
             } else {
                 serving.tryFailure(done.cause());
             }
         });
     }
 
-    private void serve(InetSocketAddress address) {
+    private void ready() {
         frontend.ready();
         if (adoption != null) {
             adoption.start();
         }
-        serving.trySuccess(address);
     }
 
     /** Turns to the discovery that the replaced file names; all else in it waits for a restart. */
--- a/src/test/java/larkworks/proxy/ProxyTest.java
+++ b/src/test/java/larkworks/proxy/ProxyTest.java
@@ -519,6 +519,8 @@
     @Test
     void closesConnectionsOnWhichNoProperRequestComes() throws Exception {
         try (Bench bench = new Bench(1).start(folder)) {
+            bench.discovery.next().reply(200, bench.all(1));
+            bench.discovery.next();
             Bench.Client proper = bench.client().look("r");
             bench.backends.get(0).next().reply(200, "");
             assertEquals(200, proper.status());
@@ -567,6 +569,20 @@
         }
     }
 
+    /** What a pushed list has counts from the start of a process, so clients wait until it is known. */
+    @ParameterizedTest
+    @ValueSource(ints = {200, 503})
+    void isReadyOnlyOnceAPushedListIsKnownOrCanNotBeHad(int status) throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            Bench.Client client = bench.client();
+            Peer.Message asked = bench.discovery.next();
+            assertEquals(503, ready(client));
+            asked.reply(status, status == 200 ? bench.all(2) : "");
+            bench.discovery.next();
+            assertEquals(200, ready(client));
+        }
+    }
+
     private static int ready(Bench.Client client) throws Exception {
         return client.send("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status();
     }
