Listen at the shared address no more where the process was told to end

Symptom, by reading: with a second address, a process told to end during its warm-up closed the warm-up's listener and then opened the clients' for 0.7 s, and took requests while it ended. The clients' listener is now opened only by a process that has not been told to. AdminTest.isNeverFoundAtItsAddressWhereItIsToldToEndDuringItsWarmUp fails without it (clients got through 1,619 times).

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -168,6 +168,10 @@
         draining = true;
     }
 
+    boolean drains() {
+        return draining;
+    }
+
     /** Takes no further connections, but for those already in the listener's queue, which would be reset. */
     void stopListening() {
         if (listener != null && listener.isOpen()) {
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -235,6 +235,10 @@
 
     /** The list known from the configuration may be old, so a new one is waited for, but not for long. */
     private void serveOnceListed(long untilNanos) {
+        if (frontend.drains()) {
+            // Told to end during its start: another process serves at the address, or will.
+            return;
+        }
         boolean waited = discovery.heard() || System.nanoTime() - untilNanos > 0;
         if (!waited || !driver.canServe()) {
             loop.schedule(() -> serveOnceListed(untilNanos), LIST_LOOK_MS, TimeUnit.MILLISECONDS);
@@ -296,7 +300,7 @@
      * Finishes what was taken, while the JVM waits for this before it exits. It ends only once that is done:
      * whatever was left then would be lost, while SIGKILL may come later than it could.
      */
-    private void finish() {
+    void finish() {
         loop.execute(() -> {
             long toldUs = driver.clock().nowUs();
             if (!frontend.listens() && member == null) {
--- a/src/test/java/larkworks/proxy/AdminTest.java
+++ b/src/test/java/larkworks/proxy/AdminTest.java
@@ -6,6 +6,7 @@
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -14,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -89,6 +91,29 @@
         assertTrue(tookMs < 5_500, "the platform waits for 6 s, this took " + tookMs);
     }
 
+    @Test
+    void isNeverFoundAtItsAddressWhereItIsToldToEndDuringItsWarmUp() throws Exception {
+        int port = Bench.freePort();
+        bench.list(bench.all(7));
+        Path file = Files.writeString(folder.resolve("config.json"), bench.config(port, bench.all(7)));
+        Main main = new Main(Config.read(file.toString(), bench.environment, Map.of()));
+        main.start();
+        // Behind the warm-up's beginning in the loop's queue, and before its end, which takes some turns.
+        CompletableFuture<Void> ended = CompletableFuture.runAsync(main::finish);
+        int found = 0;
+        while (!ended.isDone()) {
+            try {
+                new Socket(InetAddress.getByName(Bench.HOST), port).close();
+                found++;
+            } catch (ConnectException e) {
+                Thread.sleep(5);
+            }
+        }
+        ended.get();
+        main.close();
+        assertEquals(0, found);
+    }
+
     @Test
     void leavesABackendOutUntilTheCallBackWhateverTheListSays() throws Exception {
         start();
