Take no answer for whole that a reset ends while the request is still being written

Symptom, by reading, then by test: a large body on its way, an answer without a length, and a reset. The loop writes before it reads, so the write failed first; the connection closed with nothing said of why, and its closing ended the answer. Clients got the part as a whole answer (1,000 bytes with a length, or 100,000 with the last chunk). Ruled out: a reset met by a read, which is told as an exception (BackendPoolTest.takesABodyThatAResetCutsForNoAnswer). A part of a body that can't be written now tells its exchange so, before the closing is seen, and the connection's one way to lose an exchange breaks its answer off. LargeBodyTest.aResetUnderTheBodyEndsNoAnswerWithoutALength fails with the old code in both forms.

--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -308,8 +308,11 @@
         private void written(Connection used, boolean success) {
             written = success;
             if (!written) {
+                // Before the connection's end is seen, which would end an answer that has no length.
                 used.channel.close();
-                lost();
+                if (!done) {
+                    used.lost();
+                }
             }
         }
 
--- a/src/main/java/larkworks/proxy/Upload.java
+++ b/src/main/java/larkworks/proxy/Upload.java
@@ -83,7 +83,10 @@
         }
     }
 
-    /** Begins to send to a backend, which the head was just written to; tells when the last byte has left. */
+    /**
+     * Begins to send to a backend, which the head was just written to; tells when the last byte has left, or
+     * that one can't.
+     */
     void attach(Channel to, ChannelFutureListener lastWritten) {
         backend = to;
         written = lastWritten;
@@ -116,7 +119,7 @@
             content.release();
             pump();
         } else {
-            backend.write(new DefaultHttpContent(content));
+            write(content);
         }
         regulate();
     }
@@ -173,7 +176,7 @@
             return;
         }
         if (sent < held.writerIndex()) {
-            last = backend.write(new DefaultHttpContent(held.retainedSlice(sent, held.writerIndex() - sent)));
+            last = write(held.retainedSlice(sent, held.writerIndex() - sent));
             sent = held.writerIndex();
         }
         if (complete) {
@@ -185,6 +188,16 @@
         flush();
     }
 
+    /** A part that can't be written is told like the end: no more will come, and this before the closing. */
+    private ChannelFuture write(ByteBuf part) {
+        ChannelFutureListener own = written;
+        return backend.write(new DefaultHttpContent(part)).addListener((ChannelFuture done) -> {
+            if (!done.isSuccess()) {
+                own.operationComplete(done);
+            }
+        });
+    }
+
     private void finish() {
         backend.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(written);
     }
--- a/src/test/java/larkworks/proxy/LargeBodyTest.java
+++ b/src/test/java/larkworks/proxy/LargeBodyTest.java
@@ -325,6 +325,29 @@
         }
     }
 
+    /** The writing of the body meets the reset before the reading of the answer does. */
+    @ParameterizedTest
+    @ValueSource(ints = {1_000, 100_000})
+    void aResetUnderTheBodyEndsNoAnswerWithoutALength(int came) throws Exception {
+        Line client = client().send(post("r", "Content-Length: " + LARGE + "\r\n"));
+        AtomicLong gone = new AtomicLong();
+        write(client, gone);
+        Line server = accepted();
+        standstill(gone);
+        server.head();
+        server.send("HTTP/1.1 200 OK\r\n\r\n").send(body, 0, came);
+        bench.settle();
+        server.socket.setSoLinger(true, 0);
+        server.socket.close();
+        String head = client.head();
+        if (came > BackendPool.MOST_BODY) {
+            assertTrue(head.startsWith("HTTP/1.1 200 "), head);
+            assertThrows(IOException.class, client::chunks);
+        } else {
+            assertTrue(head.startsWith("HTTP/1.1 503 "), "its last byte never left: " + head);
+        }
+    }
+
     @Test
     void anAnswerThatEndsWithItsConnectionIsPassedOnWhole() throws Exception {
         Line client = client().send(get("r"));
