Let a connection rest 20 ms after an answer, so that no late second one is taken for another

Ruled out: bytes that come with the first answer, or while the connection is idle, which close it already. Where it is needed sooner another one is taken or opened. BackendPoolTest.givesNoRequestASecondAnswerThatComesLate fails with the old code (the second answer is served).

--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -51,6 +51,12 @@
     /** An idle connection is given up so long before the backend would close it, maybe under a request. */
     private static final long IDLE_MARGIN_US = 1_000_000;
 
+    /**
+     * A connection rests for so long after an answer: a backend at fault may send a second one some
+     * milliseconds late, which the next request would be given. Those seen came after 1 to 18 ms.
+     */
+    static final long REST_MS = 20;
+
     private final Bootstrap bootstrap;
     private final EventLoop loop;
     private final Sockets sockets;
@@ -117,12 +123,17 @@
         exchange.connection = connection.channel == null ? null : connection;
     }
 
-    /** The connection used last: the others then grow old and close, and a warm one serves. */
+    /** Of those rested the one used last: the others then grow old and close, and a warm one serves. */
     private Connection takeIdle(InetSocketAddress address) {
-        ArrayDeque<Connection> free = idle.get(address);
-        while (free != null && !free.isEmpty()) {
-            Connection connection = free.removeLast();
-            if (connection.channel.isActive() && System.nanoTime() - connection.idleSince < idleUs * 1000) {
+        long now = System.nanoTime();
+        var newest = idle.getOrDefault(address, new ArrayDeque<>()).descendingIterator();
+        while (newest.hasNext()) {
+            Connection connection = newest.next();
+            if (now - connection.restsUntil < 0) {
+                continue;
+            }
+            newest.remove();
+            if (connection.channel.isActive() && now - connection.idleSince < idleUs * 1000) {
                 connection.expiry.cancel(false);
                 return connection;
             }
@@ -330,6 +341,7 @@
         private void answered(Answer answer, boolean reusable) {
             Connection used = connection;
             if (reusable && written) {
+                used.restsUntil = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(REST_MS);
                 keep(used);
             } else {
                 used.current = null;
@@ -408,6 +420,7 @@
         private Answer answer;
         private boolean reusable;
         private long idleSince;
+        private long restsUntil = System.nanoTime();
         private Future<?> expiry;
 
         private Connection(InetSocketAddress address) {
--- a/src/test/java/larkworks/proxy/BackendPoolTest.java
+++ b/src/test/java/larkworks/proxy/BackendPoolTest.java
@@ -64,6 +64,11 @@
         return outcomes.poll(Peer.LIMIT_S, TimeUnit.SECONDS);
     }
 
+    /** Lets the time pass in which connections that just brought an answer are not used again. */
+    static void letRest() throws InterruptedException {
+        Thread.sleep(BackendPool.REST_MS + 1);
+    }
+
     /** Running out says nothing of the backend: the attempt was not sent, and the next one may be. */
     @Test
     void endsAnAttemptAsNotSentWhereNoDescriptorIsLeft() throws Exception {
@@ -76,6 +81,7 @@
         assertEquals(Outcome.NOT_SENT, outcome());
         first.reply(200, "");
         assertEquals(Outcome.OK, outcome());
+        letRest();
         begin(pool, backend, request());
         backend.next().reply(200, "");
         assertEquals(Outcome.OK, outcome());
@@ -228,6 +234,26 @@
         assertEquals("next", bodies.poll(Peer.LIMIT_S, TimeUnit.SECONDS));
     }
 
+    /** Nor a second answer that comes some milliseconds late: the next request takes another connection. */
+    @Test
+    void givesNoRequestASecondAnswerThatComesLate() throws Exception {
+        BackendPool pool = pool(new Sockets(16, 0));
+        InetSocketAddress address = Config.address(backend.address());
+        BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
+        group.next().execute(() -> pool.begin(address, BackendPoolTest::request, first -> {
+            bodies.add(BackendPool.text(first.body()));
+            pool.begin(address, BackendPoolTest::request, next -> bodies.add(BackendPool.text(next.body())));
+        }));
+        Peer.Message sent = backend.next();
+        sent.reply(200, "first");
+        assertEquals("first", bodies.poll(Peer.LIMIT_S, TimeUnit.SECONDS));
+        Peer.Message next = backend.next();
+        sent.reply(200, "second answer");
+        next.reply(200, "next");
+        assertEquals("next", bodies.poll(Peer.LIMIT_S, TimeUnit.SECONDS));
+        sent.awaitEnd();
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {
         "HTTP/1.1 200 OK\r\nContent-Length:2\r\n\r\nab",
