--- a/src/test/java/larkworks/proxy/Bench.java
+++ b/src/test/java/larkworks/proxy/Bench.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 
 /** A proxy between a test's client, backends and discovery, all on loopback sockets. */
@@ -150,17 +151,51 @@
         main = null;
     }
 
+    /** Tells the proxy to end, as SIGTERM does; done once it has finished what it took. */
+    CompletableFuture<Void> end() throws Exception {
+        Main ending = main;
+        CompletableFuture<Void> ended = CompletableFuture.runAsync(ending::finish);
+        Client probe = client();
+        while (!"close".equals(probe.send("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").answer()
+                .header("Connection"))) {
+            Thread.onSpinWait();
+        }
+        return ended;
+    }
+
+    /** Waits until nobody can connect any more, which is some time after the proxy was told to end. */
+    void awaitListenerClosed() throws Exception {
+        while (true) {
+            try {
+                client();
+            } catch (ConnectException e) {
+                return;
+            }
+            Thread.sleep(5);
+        }
+    }
+
     /** Starts the proxy, knowing all backends. */
     Bench start(Path folder) throws Exception {
         return start(folder, all(1));
     }
 
     Bench start(Path folder, String known) throws Exception {
+        begin(folder, known);
+        port = main.awaitServing().getPort();
+        return this;
+    }
+
+    /** Starts the proxy and tells it to end before it has warmed up. */
+    CompletableFuture<Void> startAndEnd(Path folder) throws Exception {
+        begin(folder, all(1));
+        return CompletableFuture.runAsync(main::finish);
+    }
+
+    private void begin(Path folder, String known) throws Exception {
         Path file = Files.writeString(folder.resolve("config.json"), config(0, known));
         main = new Main(Config.read(file.toString(), environment, Map.of()));
         main.start();
-        port = main.awaitServing().getPort();
-        return this;
     }
 
     int port() {
@@ -211,21 +246,29 @@
         return new Client(socket, new BufferedInputStream(socket.getInputStream()));
     }
 
-    /** The number of the backend that serves one request, which must be served. */
-    int served() throws IOException, InterruptedException {
-        Client client = client().look("r");
-        while (true) {
+    /** The number of the backend to which a request has come that is not taken yet. */
+    int awaitBackend() throws InterruptedException {
+        long until = System.nanoTime() + Peer.LIMIT_S * 1_000_000_000L;
+        while (System.nanoTime() < until) {
             for (int i = 0; i < backends.size(); i++) {
                 if (backends.get(i).waiting() > 0) {
-                    backends.get(i).next().reply(200, "");
-                    if (client.status() != 200) {
-                        throw new AssertionError("a request was not served");
-                    }
                     return i;
                 }
             }
             Thread.sleep(1);
         }
+        throw new AssertionError("no request came to any backend");
+    }
+
+    /** The number of the backend that serves one request, which must be served. */
+    int served() throws IOException, InterruptedException {
+        Client client = client().look("r");
+        int backend = awaitBackend();
+        backends.get(backend).next().reply(200, "");
+        if (client.status() != 200) {
+            throw new AssertionError("a request was not served");
+        }
+        return backend;
     }
 
     @Override
--- a/src/test/java/larkworks/proxy/CrossingTest.java
+++ b/src/test/java/larkworks/proxy/CrossingTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Events that cross; each test forces one crossing of those in docs/crossings.md. */
 @Timeout(120)
@@ -178,6 +179,82 @@
         }
     }
 
+    @Test
+    void aConnectionThatComesUpAfterItsAttemptTimedOutIsNotWrittenTo() throws Exception {
+        try (Bench bench = new Bench(0); Hanging backend = new Hanging()) {
+            bench.connectTimeoutUs = 25_000_000;
+            bench.start(folder, Bench.list(1, true, Bench.entry("b", backend.address(), "in_service")));
+            Bench.Client client = bench.client().look("late", 300);
+            Peer.Message answer = client.answer();
+            assertTrue(answer.line().startsWith("HTTP/1.1 50"), answer.line());
+            client.look("next");
+            try (Socket came = backend.accept()) {
+                Peer.Message sent = Peer.Message.read(new BufferedInputStream(came.getInputStream()), came,
+                        new CountDownLatch(1));
+                assertEquals("next", sent.header("X-Call-Id"));
+                sent.reply(200, "served");
+                assertEquals("served", client.answer().text());
+            }
+        }
+    }
+
+    // ---- drains
+
+    /** Whoever is sent on again is not sent where a drain's grace is over. */
+    @Test
+    void aRequestThatIsRetriedGoesToNoServerThatDrains() throws Exception {
+        try (Bench bench = new Bench(2)) {
+            bench.drainGraceUs = 0;
+            bench.start(folder);
+            bench.discovery.next().reply(200, bench.all(2));
+            Peer.Message watch = bench.discovery.next();
+            Bench.Client client = bench.client().look("r");
+            int first = bench.awaitBackend();
+            Peer.Message sent = bench.backends.get(first).next();
+            watch.reply(200, Bench.list(3, false, bench.entry(1 - first, "terminating")));
+            bench.discovery.next();
+            bench.settle();
+            sent.reply(503, "", "X-Rejected: 1");
+            assertEquals(503, client.status());
+            assertEquals(0, bench.backends.get(1 - first).waiting());
+            assertEquals(0, bench.backends.get(first).waiting());
+        }
+    }
+
+    // ---- answers that never end
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 10\r\n\r\nhalf", "Content-Length: 10\r\n\r\n", ""})
+    void anAnswerThatNeverEndsIsAnsweredForInTimeAndItsConnectionClosed(String came) throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            Bench.Client client = bench.client().post("act", "r", "x", "X-Budget-Ms: 300\r\n");
+            Peer.Message sent = bench.backends.get(0).next();
+            sent.raw("HTTP/1.1 200 OK\r\n" + came);
+            assertEquals(502, client.status());
+            sent.awaitEnd();
+            client.look("next");
+            bench.backends.get(0).next().reply(200, "served");
+            assertEquals("served", client.answer().text());
+        }
+    }
+
+    /** One whose length is not told is passed on as it comes, and ends with its client's patience. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\r\nhalf", "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"})
+    void anAnswerThatIsPassedOnAndNeverEndsIsEndedAsItsClientLeaves(String came) throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            Bench.Client client = bench.client().look("r");
+            Peer.Message sent = bench.backends.get(0).next();
+            sent.raw("HTTP/1.1 200 OK\r\n" + came);
+            assertEquals(200, client.status());
+            client.socket().close();
+            sent.awaitEnd();
+            assertNextIsAnother(bench, 0);
+        }
+    }
+
+    // ---- a timer and a client's leaving
+
     @ParameterizedTest
     @EnumSource(Leaving.class)
     void theTimerOfARequestThatWaitsFindsItsClientGone(Leaving way) throws Exception {
--- a/src/test/java/larkworks/proxy/ProcessTest.java
+++ b/src/test/java/larkworks/proxy/ProcessTest.java
@@ -182,6 +182,41 @@
         }
     }
 
+    /** Moved, and moved back before the new address has answered: what it says later counts no more. */
+    @Test
+    void turnsBackToTheOldDiscoveryWhileTheOtherHasNotAnswered() throws Exception {
+        int port = Bench.freePort();
+        try (Bench bench = new Bench(2); Peer other = new Peer()) {
+            bench.at(port);
+            String config = bench.config(port, "null");
+            Process process = start(config);
+            try {
+                bench.discovery.next().reply(200, Bench.list(7, true, bench.entry(0, "in_service")));
+                Peer.Message watch = bench.discovery.next();
+                connect(bench);
+
+                Files.writeString(folder.resolve("config.json"),
+                        config.replace(bench.discovery.address(), other.address()));
+                hangUp(process);
+                Peer.Message asked = other.next();
+                watch.awaitEnd();
+                Files.writeString(folder.resolve("config.json"), config);
+                hangUp(process);
+                asked.reply(200, Bench.list(8, true, bench.entry(1, "in_service")));
+                Peer.Message whole = bench.discovery.next();
+                assertEquals("GET /registry/instances HTTP/1.1", whole.line());
+                asked.awaitEnd();
+                assertEquals(0, bench.served(), "the list held stays in force");
+                whole.reply(200, Bench.list(9, true, bench.entry(0, "in_service")));
+                assertTrue(bench.discovery.next().line().contains("?index=9&"));
+                assertEquals(0, bench.served());
+                assertEquals(0, other.waiting());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     private static void hangUp(Process process) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
     }
