Ask discovery again only a second after a failed call, and open a silent watch anew at once

What the logs of the watch show: discovery answers 503 to all calls at one moment; the proxies that broke the rule had asked again after 247, 260 and 296 ms and waited 2.9 s for that answer; those that came later got another 503, asked again after more than a second, sent on to the draining server as long, and broke nothing. Ruled out: calls within the 200 ms in which a watch goes on, watches gone silent (these came seconds later), the time a watch waits (0.8 s instead of 3.5 s: broken). A silent watch is no answer to pause after: what it misses counts 6 s after it fell silent, so it is opened at once, which is what Discovery does for pushed lists, and the module hears of failures only. LogicTest.startsANewWatchAfterAFailureAndDoesNotGoOnWithTheOldOne fails with the old pause.

--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -227,7 +227,22 @@
     }
 
     private void limit(long ms) {
-        silence = loop.schedule(this::failed, ms, TimeUnit.MILLISECONDS);
+        silence = loop.schedule(this::silent, ms, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * No answer, or no more of one. What a silent watch misses counts as told soon, so it is opened anew at
+     * once; that is no failure for the module to pause after.
+     */
+    private void silent() {
+        if (asked && calling && !closed) {
+            calling = false;
+            dropChannel();
+            turnAway();
+            call();
+        } else {
+            failed();
+        }
     }
 
     /** Bytes of an answer came; one that stops half-way is not waited for as long as a silent watch. */
@@ -267,10 +282,7 @@
         calling = false;
         silence.cancel(false);
         dropChannel();
-        if (addresses.size() > 1) {
-            at = (at + 1) % addresses.size();
-            forget();
-        }
+        turnAway();
         if (asked) {
             driver.discoveryFailed();
         } else {
@@ -283,6 +295,14 @@
         settle();
     }
 
+    /** To the next service, where there are several. */
+    private void turnAway() {
+        if (addresses.size() > 1) {
+            at = (at + 1) % addresses.size();
+            forget();
+        }
+    }
+
     private void answered(FullHttpResponse response) {
         Listing listing = null;
         if (response.status().code() == 200 && response.decoderResult().isSuccess()) {
--- a/src/test/java/larkworks/LogicTest.java
+++ b/src/test/java/larkworks/LogicTest.java
@@ -551,8 +551,10 @@
                 Proxy p = new Proxy(setup, seed).with("a");
                 assertEquals(1, p.count("watch"));
                 p.logic.discoveryFailed(p.now);
-                p.pass(200);
+                p.pass(900);
                 assertEquals(1, p.count("watch"), "seed " + seed);
+                p.pass(400);
+                assertEquals(2, p.count("watch"), "seed " + seed);
             }
         }
 
--- a/src/test/java/larkworks/proxy/ProxyTest.java
+++ b/src/test/java/larkworks/proxy/ProxyTest.java
@@ -446,6 +446,22 @@
         }
     }
 
+    /** Not after the pause that follows a failure: what it misses counts as told by then. */
+    @Test
+    void opensASilentWatchAnewAtOnceWhereListsAreNotPushed() throws Exception {
+        try (Bench bench = new Bench(1)) {
+            bench.mode = "on_request";
+            bench.start(folder);
+            bench.discovery.next().reply(200, bench.all(3));
+            Peer.Message silent = bench.discovery.next();
+            silent.awaitEnd();
+            long from = System.nanoTime();
+            assertTrue(bench.discovery.next().line().contains("index=3"));
+            long pauseMs = (System.nanoTime() - from) / 1_000_000;
+            assertTrue(pauseMs < 900, "opened anew after " + pauseMs + " ms");
+        }
+    }
+
     /** Sooner, the call would go on with the watch that failed, and all that is missed count as told. */
     @Test
     void asksNotAgainWithinTheTimeThatAWatchGoesOn() throws Exception {
@@ -458,7 +474,7 @@
                 call.reply(503, "");
                 call = bench.discovery.next();
                 long pauseMs = (System.nanoTime() - failedAt) / 1_000_000;
-                assertTrue(pauseMs > 200, "asked again after " + pauseMs + " ms");
+                assertTrue(pauseMs > 900, "asked again after " + pauseMs + " ms");
                 // With a list the pauses begin anew.
                 call.reply(200, bench.all(i + 1));
                 call = bench.discovery.next();
