Show in the tests of leaving clients that nothing is held for them any more

Need: of a client that left, its queue place, body and connection must be free, not only nothing be sent. The tests of each waiting state now wait until the proxy holds no request, no byte of a body and no connection for it; Main tells what is held, which changes nothing else. Timers are not seen by this: the guard is cancelled where the request ends.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -212,6 +212,16 @@
         listener.close();
     }
 
+    /** What all requests together hold of bodies. */
+    int heldBytes() {
+        return heldBytes;
+    }
+
+    /** Clients' connections that are open. */
+    int connections() {
+        return connections;
+    }
+
     /** Whether the listener is closed and so is each client's connection. */
     boolean isEmpty() {
         return (listener == null || !listener.isOpen()) && connections == 0;
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -276,6 +276,14 @@
         }
     }
 
+    /** What is held for clients: requests, bytes of bodies, connections. */
+    record Held(boolean requests, int bodyBytes, int connections) { }
+
+    /** What is held for clients now, for tests that show it given back; to be asked on the loop. */
+    Held held() {
+        return new Held(!driver.isIdle(), frontend.heldBytes(), frontend.connections());
+    }
+
     /** The one loop, for tests that make several things happen in one turn of it. */
     EventLoop loop() {
         return loop;
--- a/src/test/java/larkworks/proxy/Bench.java
+++ b/src/test/java/larkworks/proxy/Bench.java
@@ -229,6 +229,21 @@
         }
     }
 
+    /**
+     * Waits until nothing is held for a client that left: all others of this bench's clients ask nothing, and
+     * may be closed as strangers.
+     */
+    void awaitOneGone() throws Exception {
+        long until = System.nanoTime() + Peer.LIMIT_S * 1_000_000_000L;
+        Main.Held now = main.loop().submit(main::held).get();
+        while (now.requests() || now.bodyBytes() > 0 || now.connections() > clients.size() - 1) {
+            if (System.nanoTime() > until) {
+                throw new AssertionError("still held: " + now + " with " + clients.size() + " clients");
+            }
+            now = main.loop().submit(main::held).get();
+        }
+    }
+
     /** Something that a test does. */
     interface Step {
         void run() throws Exception;
--- a/src/test/java/larkworks/proxy/CrossingTest.java
+++ b/src/test/java/larkworks/proxy/CrossingTest.java
@@ -47,8 +47,12 @@
                 + "\r\nX-Call-Class: look\r\nX-Budget-Ms: 20000\r\n\r\n";
     }
 
-    /** Sends a request of another client, which must be the next that any backend gets. */
+    /**
+     * Nothing must be held any more for the client that left, and a request of another one must be the next
+     * that any backend gets.
+     */
     private static void assertNextIsAnother(Bench bench, int backend) throws Exception {
+        bench.awaitOneGone();
         Bench.Client other = bench.client().look("other");
         Peer.Message sent = bench.backends.get(backend).next();
         assertEquals("other", sent.header("X-Call-Id"));
@@ -167,7 +171,7 @@
             Bench.Client client = bench.client().look("gone");
             bench.settle();
             way.leave(client);
-            bench.settle();
+            bench.awaitOneGone();
             Bench.Client other = bench.client().look("other");
             try (Socket came = backend.accept()) {
                 Peer.Message sent = Peer.Message.read(new BufferedInputStream(came.getInputStream()), came,
