--- a/src/test/java/larkworks/proxy/ReplacementTest.java
+++ b/src/test/java/larkworks/proxy/ReplacementTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -169,6 +170,19 @@
         assertFalse(ids.contains("warm-up"), "warming up reaches no backend");
     }
 
+    @Test
+    void theOldProcessServesOnWhereTheNewOneFailsAtItsStart() throws Exception {
+        int admin = Bench.freePort();
+        Process old = start(admin);
+        awaitReady(admin);
+        Process young = start(admin);  // its second address is in use
+        assertTrue(young.waitFor(Peer.LIMIT_S, TimeUnit.SECONDS));
+        assertNotEquals(0, young.exitValue());
+        assertEquals(200, bench.client().look("on").status());
+        assertEquals(200, Bench.call(admin, "GET", "/ops/readiness", ""));
+        assertTrue(old.isAlive());
+    }
+
     @Test
     void eachOfTwoLiveProcessesSeesTheCallsThatCameToTheOther() throws Exception {
         int one = Bench.freePort();
