--- a/src/test/java/larkworks/proxy/BackendPoolTest.java
+++ b/src/test/java/larkworks/proxy/BackendPoolTest.java
@@ -215,9 +215,8 @@
         assertEquals(Outcome.OK, outcome());
     }
 
-    /** The next request was given the second of two answers to the one before. */
-    @Test
-    void givesNoRequestWhatCameBehindTheAnswerToAnother() throws Exception {
+    /** Begins an exchange, and the next as soon as it has ended; returns the bodies of their answers. */
+    private BlockingQueue<String> askTwice() {
         BackendPool pool = pool(new Sockets(16, 0));
         InetSocketAddress address = Config.address(backend.address());
         BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
@@ -225,6 +224,13 @@
             bodies.add(BackendPool.text(first.body()));
             pool.begin(address, BackendPoolTest::request, next -> bodies.add(BackendPool.text(next.body())));
         }));
+        return bodies;
+    }
+
+    /** The next request was given the second of two answers to the one before. */
+    @Test
+    void givesNoRequestWhatCameBehindTheAnswerToAnother() throws Exception {
+        BlockingQueue<String> bodies = askTwice();
         String answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
         Peer.Message sent = backend.next();
         sent.raw(answer + answer);
@@ -237,13 +243,7 @@
     /** Nor a second answer that comes some milliseconds late: the next request takes another connection. */
     @Test
     void givesNoRequestASecondAnswerThatComesLate() throws Exception {
-        BackendPool pool = pool(new Sockets(16, 0));
-        InetSocketAddress address = Config.address(backend.address());
-        BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
-        group.next().execute(() -> pool.begin(address, BackendPoolTest::request, first -> {
-            bodies.add(BackendPool.text(first.body()));
-            pool.begin(address, BackendPoolTest::request, next -> bodies.add(BackendPool.text(next.body())));
-        }));
+        BlockingQueue<String> bodies = askTwice();
         Peer.Message sent = backend.next();
         sent.reply(200, "first");
         assertEquals("first", bodies.poll(Peer.LIMIT_S, TimeUnit.SECONDS));
