--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -87,8 +87,8 @@
     private long begunAt;
     private long calledAt;
     /**
-     * Since when what is not known here may count as told, by the driver's clock: where lists are pushed, what
-     * the agent has counts whether or not it was asked. The greatest value while each change is told at once.
+     * Since when what isn't known here may count as told, by the driver's clock: where lists are pushed, what
+     * the agent has counts whether or not it was asked. The greatest value where all is told at once.
      */
     private long unsureUs;
     private boolean closed;
--- a/src/test/java/larkworks/proxy/ProxyTest.java
+++ b/src/test/java/larkworks/proxy/ProxyTest.java
@@ -304,8 +304,8 @@
             bench.settle();
             watch.reply(503, "");
             Peer.Message again = bench.discovery.next();
-            // That time passes is what the test is about: the grace from the failure on is over, and one from
-            // the list on is not when the connection comes up, which the system tries after 1 s and after 3 s.
+            // That time passes is what the test is about: the grace from the failure on is over, one from
+            // the list on is not when the connection comes up, which the system tries after 1 s and 3 s.
             Thread.sleep(2_500);
             again.reply(200, Bench.list(2, true, Bench.entry("b", backend.address(), "terminating")));
             bench.discovery.next();
