End each pending request in one place, once its answer has been written

Need: an answer counted as given when it was handed to the client's connection; whether it ever got out was seen nowhere, and an attempt that could not begin (its start threw) had no end, held its request for ever and threw again in its time-out.

Change: PendingRequest and UpstreamAttempt come out of Driver; PendingRequests is where a request ends, once its answer's write has ended (Delivery) and no attempt is out. At level debug it logs when a request was taken, and at its end when each step happened; what is left when a process ends is logged. An answer that stands still for 10 s in the write buffer closes its connection, as large ones did. Every test that closes its Bench asserts that no request is past its deadline without an answer.

--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -57,16 +57,22 @@
     /** An answer of unknown length is held for this part of its aim, to see whether it is a large one. */
     private static final int HOLD_PART = 10;
 
+    /** Told once that an answer's last byte was written to its client's connection, or never will be. */
+    @FunctionalInterface
+    interface Delivery {
+        void ended(boolean written);
+    }
+
     /** Where a request's final answer goes; exactly one of the methods is called, once. */
     interface Client {
-        void served(byte[] body, String type);
+        void served(byte[] body, String type, Delivery delivery);
 
         /** The answer is a large one and comes in parts; its length is negative where it is not told. */
-        BackendPool.Sink begins(BackendPool.Exchange from, String type, long length);
+        BackendPool.Sink begins(BackendPool.Exchange from, String type, long length, Delivery delivery);
 
-        void refused(long retryAfterUs);
+        void refused(long retryAfterUs, Delivery delivery);
 
-        void failed();
+        void failed(Delivery delivery);
     }
 
     /**
@@ -99,71 +105,6 @@
         long downSinceUs;
     }
 
-    /** A request from its arrival until its answer is given and its last attempt has ended. */
-    static final class Held {
-        private final String id;
-        private final Inbound inbound;
-        private final Client client;
-        /** The module that decides on it, to its end. */
-        private final Deciding module;
-        private long deadlineUs;
-        /** When the last byte came of a body that was an upload; the greatest value until then. */
-        private long uploadedUs;
-        /** The attempt whose answer is being handed on, or null. */
-        private Try answering;
-        private final List<Try> tries = new ArrayList<>(2);
-        private int out;
-        private boolean over;
-        private Future<?> guard;
-
-        private Held(String id, Inbound inbound, Client client, long deadlineUs, Deciding module) {
-            this.module = module;
-            this.id = id;
-            this.inbound = inbound;
-            this.client = client;
-            this.deadlineUs = deadlineUs;
-            this.uploadedUs = inbound.upload() == null ? 0 : Long.MAX_VALUE;
-        }
-
-        private boolean uploading() {
-            return uploadedUs == Long.MAX_VALUE;
-        }
-    }
-
-    /** An attempt, which hears what comes of it. */
-    private final class Try implements BackendPool.Receiver {
-        final Held held;
-        final int number;
-        final String server;
-        final long sentAtUs;
-        long untilUs;
-        BackendPool.Exchange exchange;
-        Future<?> timeout;
-        boolean ended;
-
-        Try(Held held, int number, String server, long sentAtUs) {
-            this.held = held;
-            this.number = number;
-            this.server = server;
-            this.sentAtUs = sentAtUs;
-        }
-
-        @Override
-        public BackendPool.Sink began(BackendPool.Exchange from, String type, long length) {
-            return answerBegan(this, from, type, length);
-        }
-
-        @Override
-        public long holdUs() {
-            return settings.classes().get(held.inbound.requestClass()).aimUs() / HOLD_PART;
-        }
-
-        @Override
-        public void ended(Answer answer) {
-            Driver.this.ended(this, answer);
-        }
-    }
-
     /** What is in force for new requests. */
     private Settings settings;
     private final boolean loadReports;
@@ -184,7 +125,7 @@
     private final Set<String> known = new HashSet<>();
     /** Backends that the operators called out: nothing goes to them, whatever lists say. */
     private final Set<String> out = new HashSet<>();
-    private final Map<String, Held> requests = new HashMap<>();
+    private final PendingRequests requests;
     /** Probes without an answer yet. */
     private final Set<Probe> probes = new HashSet<>();
     private long lastId;
@@ -208,6 +149,7 @@
         this.settings = config.settings();
         this.loadReports = config.loadReports();
         this.clock = clock;
+        this.requests = new PendingRequests(clock);
         this.loop = loop;
         this.pool = pool;
         this.seed = config.seed();
@@ -216,7 +158,7 @@
     }
 
     /** One decision module, and what it may do. */
-    private final class Deciding implements Actions {
+    final class Deciding implements Actions {
         final Balancer balancer = new Logic(settings, seed, this);
         int requests;
 
@@ -382,6 +324,25 @@
         }
     }
 
+    /** What comes of attempts. */
+    private final UpstreamAttempt.Listener attempts = new UpstreamAttempt.Listener() {
+        @Override
+        public BackendPool.Sink answerBegan(UpstreamAttempt attempt, BackendPool.Exchange from, String type,
+                long length) {
+            return Driver.this.answerBegan(attempt, from, type, length);
+        }
+
+        @Override
+        public long holdUs(UpstreamAttempt attempt) {
+            return settings.classes().get(attempt.request.inbound.requestClass()).aimUs() / HOLD_PART;
+        }
+
+        @Override
+        public void ended(UpstreamAttempt attempt, Answer answer) {
+            Driver.this.ended(attempt, answer);
+        }
+    };
+
     private int classNumber(String name) {
         return settings.classes().stream().map(RequestClass::name).toList().indexOf(name);
     }
@@ -390,10 +351,21 @@
         return clock;
     }
 
+    /** Whether every request that was taken has ended. */
     boolean isIdle() {
         return requests.isEmpty();
     }
 
+    /** Requests whose clients wait for an answer past their deadline: there must never be any. */
+    List<PendingRequest> overdue() {
+        return requests.overdue();
+    }
+
+    /** Writes what has not ended to the log, at level debug. */
+    void logPending(String why) {
+        requests.logAll(why);
+    }
+
     /** Whether some backend could be sent a request. */
     boolean canServe() {
         return backends.entrySet().stream()
@@ -471,8 +443,8 @@
     }
 
     /** Ends an attempt that is out; the module hears of it once what goes on now is over. */
-    private void callOff(Try attempt, Outcome outcome) {
-        attempt.exchange.abandon();
+    private void callOff(UpstreamAttempt attempt, Outcome outcome) {
+        attempt.abandon();
         loop.execute(() -> ended(attempt, Answer.of(outcome)));
     }
 
@@ -483,9 +455,11 @@
 
     /** Ends what is on its way to a backend and has not begun. */
     private void endConnecting(String server) {
-        List<Try> tries = requests.values().stream().flatMap(held -> held.tries.stream())
-                .filter(t -> !t.ended && t.server.equals(server) && !t.exchange.begun()).toList();
-        tries.forEach(attempt -> callOff(attempt, Outcome.NOT_SENT));
+        List<UpstreamAttempt> connecting = requests.all().stream()
+                .flatMap(pending -> pending.attempts.stream())
+                .filter(attempt -> !attempt.ended && attempt.server.equals(server) && !attempt.begun())
+                .toList();
+        connecting.forEach(attempt -> callOff(attempt, Outcome.NOT_SENT));
         List<Probe> asking = probes.stream()
                 .filter(p -> p.server.equals(server) && !p.exchange.begun()).toList();
         for (Probe probe : asking) {
@@ -509,28 +483,34 @@
     }
 
     /** Takes a request over from a client. */
-    Held request(Inbound inbound, Client client) {
+    PendingRequest request(Inbound inbound, Client client) {
         long now = clock.nowUs();
         long deadlineUs = dueUs(inbound.takenAtUs(), inbound);
-        Held held = new Held(Long.toString(++lastId), inbound, client, deadlineUs, newest);
-        requests.put(held.id, held);
-        held.module.requests++;
+        PendingRequest pending = new PendingRequest(Long.toString(++lastId), inbound, client, deadlineUs,
+                newest);
+        requests.add(pending);
+        pending.module.requests++;
+        if (LOG.isDebugEnabled()) {
+            LOG.atDebug().addKeyValue("request", inbound.callId())
+                    .addKeyValue("read_us_ago", now - inbound.takenAtUs())
+                    .addKeyValue("left_ms", (deadlineUs - now) / 1000).log("request taken");
+        }
         if (inbound.upload() == null) {
-            armGuard(held, now);
+            armGuard(pending, now);
         } else {
             inbound.upload().onSpent(() -> enter(
-                    () -> held.module.balancer.bodySpent(clock.nowUs(), held.id)));
+                    () -> pending.module.balancer.bodySpent(clock.nowUs(), pending.id)));
         }
         enter(() -> {
             try {
-                held.module.balancer.request(clock.nowUs(), new Request(held.id, inbound.requestClass(),
+                pending.module.balancer.request(clock.nowUs(), new Request(pending.id, inbound.requestClass(),
                         inbound.tenant(), Math.max(0, deadlineUs - clock.nowUs()), inbound.workUs(),
-                        inbound.again(), held.uploading()));
+                        inbound.again(), pending.uploading()));
             } catch (RuntimeException e) {
-                fault(held, e);
+                fault(pending, e);
             }
         });
-        return held;
+        return pending;
     }
 
     /** From now on the process may be ended at that time: requests that come have an answer by then. */
@@ -551,86 +531,86 @@
         return dueUs;
     }
 
-    private void armGuard(Held held, long now) {
-        held.guard = loop.schedule(() -> guard(held), Math.max(0, held.deadlineUs - GUARD_US - now),
+    private void armGuard(PendingRequest pending, long now) {
+        pending.guard = loop.schedule(() -> guard(pending), Math.max(0, pending.deadlineUs - GUARD_US - now),
                 TimeUnit.MICROSECONDS);
     }
 
     /** The last byte of an upload has come: from now on the request's time runs. */
-    void uploaded(Held held) {
-        if (held.over || !held.uploading()) {
+    void uploaded(PendingRequest pending) {
+        if (pending.answered() || !pending.uploading()) {
             return;
         }
         long now = clock.nowUs();
-        held.uploadedUs = now;
-        held.deadlineUs = dueUs(now, held.inbound);
-        armGuard(held, now);
-        held.tries.stream().filter(attempt -> !attempt.ended).forEach(attempt -> limit(attempt, now,
-                held.deadlineUs));
-        enter(() -> held.module.balancer.uploaded(clock.nowUs(), held.id));
+        pending.uploadedUs = now;
+        pending.deadlineUs = dueUs(now, pending.inbound);
+        armGuard(pending, now);
+        pending.attempts.stream().filter(attempt -> !attempt.ended).forEach(attempt -> limit(attempt, now,
+                pending.deadlineUs));
+        enter(() -> pending.module.balancer.uploaded(clock.nowUs(), pending.id));
     }
 
-    private void limit(Try attempt, long now, long untilUs) {
+    private void limit(UpstreamAttempt attempt, long now, long untilUs) {
         attempt.untilUs = untilUs;
         attempt.timeout = loop.schedule(() -> timedOut(attempt), untilUs - now, TimeUnit.MICROSECONDS);
     }
 
     /** The client has closed its connection. */
-    void clientGone(Held held) {
-        if (held.answering != null && !held.answering.ended) {
-            held.answering.exchange.abandon();
-            ended(held.answering, Answer.of(Outcome.CANCELLED));
-        } else if (!held.over) {
-            over(held, Meters.Result.GONE);
-            enter(() -> held.module.balancer.clientGone(clock.nowUs(), held.id));
-            forget(held);
+    void clientGone(PendingRequest pending) {
+        if (pending.answering != null && !pending.answering.ended) {
+            pending.answering.abandon();
+            ended(pending.answering, Answer.of(Outcome.CANCELLED));
+        } else if (!pending.answered()) {
+            finish(pending, Meters.Result.GONE);
+            enter(() -> pending.module.balancer.clientGone(clock.nowUs(), pending.id));
+            endIfDone(pending);
         }
     }
 
     /** All else is late: the client is answered while it waits; what comes later only informs the module. */
-    private void guard(Held held) {
-        if (!held.over) {
-            boolean waits = held.out == 0;
-            over(held, Meters.Result.FAILED);
-            held.client.failed();
-            forget(held);
+    private void guard(PendingRequest pending) {
+        if (!pending.answered()) {
+            boolean waits = pending.attemptsOut == 0;
+            finish(pending, Meters.Result.FAILED);
+            pending.client.failed(delivery(pending));
             if (waits) {
                 // Else the module might yet send it, and would wait for that attempt's end for ever.
-                enter(() -> held.module.balancer.clientGone(clock.nowUs(), held.id));
+                enter(() -> pending.module.balancer.clientGone(clock.nowUs(), pending.id));
             }
         }
     }
 
     /** A large answer begins: the client has it from here on, and nothing else ends the request any more. */
-    private BackendPool.Sink answerBegan(Try attempt, BackendPool.Exchange from, String type, long length) {
-        Held held = attempt.held;
-        if (attempt.ended || held.over) {
+    private BackendPool.Sink answerBegan(UpstreamAttempt attempt, BackendPool.Exchange from, String type,
+            long length) {
+        PendingRequest pending = attempt.request;
+        if (attempt.ended || pending.answered()) {
             ended(attempt, Answer.of(Outcome.CANCELLED));
             return null;
         }
-        held.answering = attempt;
-        over(held, Meters.Result.SERVED);
+        pending.answering = attempt;
+        finish(pending, Meters.Result.SERVED);
         if (attempt.timeout != null) {
             attempt.timeout.cancel(false);
         }
         long now = clock.nowUs();
-        enter(() -> held.module.balancer.streamStarted(now, held.id, attempt.number, attempt.server,
+        enter(() -> pending.module.balancer.streamStarted(now, pending.id, attempt.number, attempt.server,
                 now - begunAtUs(attempt)));
-        return held.client.begins(from, type, length);
+        return pending.client.begins(from, type, length, delivery(pending));
     }
 
     /** When the server could begin: with the last byte of the request. */
-    private static long begunAtUs(Try attempt) {
-        return attempt.held.uploading() ? attempt.sentAtUs
-                : Math.max(attempt.sentAtUs, attempt.held.uploadedUs);
+    private static long begunAtUs(UpstreamAttempt attempt) {
+        return attempt.request.uploading() ? attempt.sentAtUs
+                : Math.max(attempt.sentAtUs, attempt.request.uploadedUs);
     }
 
-    private void ended(Try attempt, Answer answer) {
+    private void ended(UpstreamAttempt attempt, Answer answer) {
         if (attempt.ended) {
             return;
         }
         attempt.ended = true;
-        Held held = attempt.held;
+        PendingRequest pending = attempt.request;
         if (attempt.timeout != null) {
             attempt.timeout.cancel(false);
         }
@@ -639,73 +619,81 @@
                     Math.max(0, clock.nowUs() - attempt.sentAtUs));
         }
         if (LOG.isDebugEnabled()) {
-            LOG.atDebug().addKeyValue("request", held.inbound.callId())
+            LOG.atDebug().addKeyValue("request", pending.inbound.callId())
                     .addKeyValue("attempt", attempt.number).addKeyValue("backend", attempt.server)
                     .addKeyValue("outcome", answer.outcome()).log("attempt ended");
         }
         enter(() -> {
-            held.out--;
-            if (answer.outcome() == Outcome.OK && !held.over) {
-                over(held, Meters.Result.SERVED);
-                held.client.served(answer.body(), answer.type());
+            pending.attemptsOut--;
+            if (answer.outcome() == Outcome.OK && !pending.answered()) {
+                finish(pending, Meters.Result.SERVED);
+                pending.client.served(answer.body(), answer.type(), delivery(pending));
             }
             long now = clock.nowUs();
             try {
                 if (answer.improper()) {
-                    withdraw(now, held);
+                    withdraw(now, pending);
                 }
-                held.module.balancer.outcome(now, held.id, attempt.number, attempt.server,
+                pending.module.balancer.outcome(now, pending.id, attempt.number, attempt.server,
                         answer.improper() ? Outcome.CANCELLED : answer.outcome(), now - begunAtUs(attempt),
-                        held.over, answer.report());
+                        pending.answered(), answer.report());
             } catch (RuntimeException e) {
-                fault(held, e);
+                fault(pending, e);
             }
-            forget(held);
+            endIfDone(pending);
         });
     }
 
     /** What no client sent is failed; it speaks neither against the backend nor for another attempt. */
-    private void withdraw(long now, Held held) {
-        if (!held.over) {
-            over(held, Meters.Result.FAILED);
-            held.client.failed();
-            held.module.balancer.clientGone(now, held.id);
+    private void withdraw(long now, PendingRequest pending) {
+        if (!pending.answered()) {
+            finish(pending, Meters.Result.FAILED);
+            pending.client.failed(delivery(pending));
+            pending.module.balancer.clientGone(now, pending.id);
         }
     }
 
-    private void fault(Held held, RuntimeException e) {
-        LOG.atError().addKeyValue("request", held.inbound.callId()).setCause(e).log("request failed");
-        fail(held.id);
+    private void fault(PendingRequest pending, RuntimeException e) {
+        LOG.atError().addKeyValue("request", pending.inbound.callId()).setCause(e).log("request failed");
+        fail(pending.id);
     }
 
-    private void over(Held held, Meters.Result result) {
-        held.over = true;
-        if (held.module == newest && result != Meters.Result.GONE) {
+    /** Its answer is given, or its client has gone; who calls this has the answer written. */
+    private void finish(PendingRequest pending, Meters.Result result) {
+        pending.answer(result, clock.nowUs());
+        if (pending.module == newest && result != Meters.Result.GONE) {
             requestsEnded++;
             requestsFailed += result == Meters.Result.SERVED ? 0 : 1;
         }
         if (meters != null) {
-            meters.answered(held.inbound.requestClass(), result,
-                    Math.max(0, clock.nowUs() - held.inbound.takenAtUs()));
+            meters.answered(pending.inbound.requestClass(), result,
+                    Math.max(0, clock.nowUs() - pending.inbound.takenAtUs()));
         }
-        if (LOG.isDebugEnabled()) {
-            LOG.atDebug().addKeyValue("request", held.inbound.callId()).addKeyValue("result", result)
-                    .addKeyValue("attempts", held.tries.size()).log("answered");
+        if (pending.guard != null) {
+            pending.guard.cancel(false);
         }
-        if (held.guard != null) {
-            held.guard.cancel(false);
-        }
-        if (held.uploading()) {
+        if (pending.uploading()) {
             // No time-out runs on what will never be whole.
-            held.tries.stream().filter(t -> !t.ended && t != held.answering)
+            pending.attempts.stream()
+                    .filter(attempt -> !attempt.ended && attempt != pending.answering)
                     .forEach(attempt -> callOff(attempt, Outcome.CANCELLED));
         }
     }
 
-    private void forget(Held held) {
-        if (held.over && held.out == 0 && requests.remove(held.id) != null && --held.module.requests == 0
-                && held.module != newest) {
-            modules.remove(held.module);
+    /** What is to be told once the answer has left, or can't any more. */
+    private Delivery delivery(PendingRequest pending) {
+        return written -> {
+            if (!written && LOG.isDebugEnabled()) {
+                LOG.atDebug().addKeyValue("request", pending.inbound.callId()).log("answer not written");
+            }
+            pending.deliver();
+            endIfDone(pending);
+        };
+    }
+
+    private void endIfDone(PendingRequest pending) {
+        if (requests.endIfDone(pending) && --pending.module.requests == 0 && pending.module != newest) {
+            modules.remove(pending.module);
         }
     }
 
@@ -729,34 +717,43 @@
     // ---- actions
 
     private void send(String request, String server, long timeoutUs) {
-        Held held = requests.get(request);
-        if (held == null) {
+        PendingRequest pending = requests.get(request);
+        if (pending == null) {
             return;
         }
         long now = clock.nowUs();
-        Try attempt = new Try(held, held.tries.size(), server, now);
-        held.tries.add(attempt);
-        held.out++;
-        long untilUs = timeoutUs > 0 ? Math.min(held.deadlineUs, now + timeoutUs) : held.deadlineUs;
+        UpstreamAttempt attempt = new UpstreamAttempt(pending, pending.attempts.size(), server, now,
+                attempts);
+        pending.attempts.add(attempt);
+        pending.attemptsOut++;
+        long untilUs = timeoutUs > 0 ? Math.min(pending.deadlineUs, now + timeoutUs) : pending.deadlineUs;
         Backend backend = backends.get(server);
-        if (backend == null || out.contains(server) || held.over || untilUs <= now && !held.uploading()
-                || held.tries.size() > settings.limits().maxAttempts()) {
+        if (backend == null || out.contains(server) || pending.answered()
+                || untilUs <= now && !pending.uploading()
+                || pending.attempts.size() > settings.limits().maxAttempts()) {
             ended(attempt, Answer.of(Outcome.NOT_SENT));
             return;
         }
-        if (held.uploading()) {
+        if (pending.uploading()) {
             attempt.untilUs = Long.MAX_VALUE;
         } else {
             limit(attempt, now, untilUs);
         }
-        attempt.exchange = pool.begin(backend.address, () -> message(attempt, backend), attempt);
+        try {
+            attempt.exchange = pool.begin(backend.address, () -> message(attempt, backend), attempt);
+        } catch (RuntimeException e) {
+            // Thrown on, it would end the module's turn half-way, and this attempt never.
+            LOG.atError().addKeyValue("request", pending.inbound.callId()).addKeyValue("backend", server)
+                    .setCause(e).log("attempt not begun");
+            ended(attempt, Answer.of(Outcome.NOT_SENT));
+        }
     }
 
-    private void timedOut(Try attempt) {
+    private void timedOut(UpstreamAttempt attempt) {
         if (!attempt.ended) {
-            attempt.exchange.abandon();
+            attempt.abandon();
             // Still connecting, so no byte of it has left.
-            ended(attempt, Answer.of(attempt.exchange.begun() ? Outcome.TIMEOUT : Outcome.NOT_SENT));
+            ended(attempt, Answer.of(attempt.begun() ? Outcome.TIMEOUT : Outcome.NOT_SENT));
         }
     }
 
@@ -764,11 +761,11 @@
      * The request for a backend, at the moment its first byte may go out: the connect took time, in which the
      * request may have ended or the backend may have been told to drain. Null where it must not go out.
      */
-    private HttpRequest message(Try attempt, Backend backend) {
+    private HttpRequest message(UpstreamAttempt attempt, Backend backend) {
         long now = clock.nowUs();
-        Inbound in = attempt.held.inbound;
-        long leftMs = attempt.held.uploading() ? in.timeLeftUs() / 1000 : (attempt.untilUs - now) / 1000;
-        if (attempt.ended || attempt.held.over || barred(attempt.server, backend) || leftMs <= 0) {
+        Inbound in = attempt.request.inbound;
+        long leftMs = attempt.request.uploading() ? in.timeLeftUs() / 1000 : (attempt.untilUs - now) / 1000;
+        if (attempt.ended || attempt.request.answered() || barred(attempt.server, backend) || leftMs <= 0) {
             return null;
         }
         HttpRequest message = in.upload() == null
@@ -805,32 +802,28 @@
     }
 
     private void refuse(String request, long retryAfterUs) {
-        Held held = requests.get(request);
-        if (held != null && !held.over) {
-            over(held, Meters.Result.REFUSED);
-            held.client.refused(retryAfterUs);
-            forget(held);
+        PendingRequest pending = requests.get(request);
+        if (pending != null && !pending.answered()) {
+            finish(pending, Meters.Result.REFUSED);
+            pending.client.refused(retryAfterUs, delivery(pending));
         }
     }
 
     private void fail(String request) {
-        Held held = requests.get(request);
-        if (held != null && !held.over) {
-            over(held, Meters.Result.FAILED);
-            held.client.failed();
-            forget(held);
+        PendingRequest pending = requests.get(request);
+        if (pending != null && !pending.answered()) {
+            finish(pending, Meters.Result.FAILED);
+            pending.client.failed(delivery(pending));
         }
     }
 
     private void cancel(String request, int number) {
-        Held held = requests.get(request);
-        if (held == null || number >= held.tries.size() || held.tries.get(number).ended) {
+        PendingRequest pending = requests.get(request);
+        if (pending == null || number >= pending.attempts.size() || pending.attempts.get(number).ended) {
             return;
         }
-        Try attempt = held.tries.get(number);
-        if (attempt.exchange != null) {
-            attempt.exchange.abandon();
-        }
+        UpstreamAttempt attempt = pending.attempts.get(number);
+        attempt.abandon();
         ended(attempt, Answer.of(Outcome.CANCELLED));
     }
 
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -376,7 +376,7 @@
         private Driver.Inbound ready;
         /** Handed to the driver and not answered yet. */
         private boolean busy;
-        private Driver.Held held;
+        private PendingRequest held;
         private Answering answering;
         /** The last answer is on its way: nothing that comes counts any more. */
         private boolean closing;
@@ -476,7 +476,7 @@
                 LOG.error("request failed", e);
                 if (head != null && !closing) {
                     receiving = true;
-                    answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, null, null, -1);
+                    answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, null, null);
                 }
             } finally {
                 ReferenceCountUtil.release(object);
@@ -601,7 +601,7 @@
             if (rejected != null) {
                 reject(rejected);
             } else if (isHealth()) {
-                answer(health(head.uri()), null, null, -1);
+                answer(health(head.uri()), null, null);
             } else {
                 idleOf().remove(this);
                 proper = true;
@@ -623,7 +623,7 @@
             idleOf().remove(this);
             proper = true;
             busy = true;
-            Driver.Held taken = driver.request(inbound, new Client(this));
+            PendingRequest taken = driver.request(inbound, new Client(this));
             held = busy ? taken : null;
         }
 
@@ -633,12 +633,12 @@
                 keep = false;
             }
             if (held != null) {
-                Driver.Held broken = held;
+                PendingRequest broken = held;
                 held = null;
                 driver.clientGone(broken);
             }
             if (answering == null) {
-                answer(why.status, why.getMessage().getBytes(StandardCharsets.US_ASCII), "text/plain", -1);
+                answer(why.status, why.getMessage().getBytes(StandardCharsets.US_ASCII), "text/plain");
             } else {
                 channel.close();
             }
@@ -653,7 +653,13 @@
             };
         }
 
-        private void answer(HttpResponseStatus status, byte[] text, String type, long retryAfterUs) {
+        /** Answers what no backend was asked for. */
+        private void answer(HttpResponseStatus status, byte[] text, String type) {
+            answer(status, text, type, -1, written -> { });
+        }
+
+        private void answer(HttpResponseStatus status, byte[] text, String type, long retryAfterUs,
+                Driver.Delivery delivery) {
             boolean bodiless = head.method().equals(HttpMethod.HEAD);
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                     text == null || bodiless ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(text));
@@ -669,16 +675,25 @@
             if (last && (receiving || later.overrun())) {
                 // The client may read only once it has sent all; it has the time that a silent one has.
                 close();
-                Lingering.close(channel, response, STRANGER_MS);
+                tell(Lingering.close(channel, response, STRANGER_MS), delivery);
             } else if (last) {
                 close();
-                channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+                tell(channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE), delivery);
             } else {
-                channel.writeAndFlush(response);
+                tell(channel.writeAndFlush(response), delivery);
                 next();
             }
         }
 
+        /** Tells how a write ended; one that the client does not read is cut off after a while. */
+        private void tell(ChannelFuture writing, Driver.Delivery delivery) {
+            if (!writing.isDone()) {
+                Future<?> stalled = loop.schedule(() -> channel.close(), STALL_MS, TimeUnit.MILLISECONDS);
+                writing.addListener(done -> stalled.cancel(false));
+            }
+            writing.addListener(done -> delivery.ended(done.isSuccess()));
+        }
+
         /** Tells the client whether the connection goes on; returns whether this answer is its last. */
         private boolean describeEnd(HttpResponse response) {
             boolean last = !keep || receiving || (draining || later.overrun()) && later.isEmpty();
@@ -754,10 +769,10 @@
             strangers.remove(this);
             idle.remove(this);
             patience(null);
-            Driver.Held gone = held;
+            PendingRequest gone = held;
             held = null;
             if (answering != null) {
-                answering.stop();
+                answering.stop(false);
                 answering = null;
             }
             if (gone != null) {
@@ -776,8 +791,9 @@
             context.close();
         }
 
-        private BackendPool.Sink begins(BackendPool.Exchange from, String type, long length) {
-            answering = new Answering(this, from, type, length);
+        private BackendPool.Sink begins(BackendPool.Exchange from, String type, long length,
+                Driver.Delivery delivery) {
+            answering = new Answering(this, from, type, length, delivery);
             return answering;
         }
     }
@@ -788,6 +804,7 @@
         private final Connection connection;
         private final Channel channel;
         private final BackendPool.Exchange from;
+        private final Driver.Delivery delivery;
         /** Where neither a length nor chunks tell the client where the answer ends, its connection does. */
         private final boolean endsWithConnection;
         private final boolean last;
@@ -795,7 +812,9 @@
         private long seen = -1;
         private Future<?> watch;
 
-        private Answering(Connection connection, BackendPool.Exchange from, String type, long length) {
+        private Answering(Connection connection, BackendPool.Exchange from, String type, long length,
+                Driver.Delivery delivery) {
+            this.delivery = delivery;
             this.connection = connection;
             this.channel = connection.channel;
             this.from = from;
@@ -853,13 +872,13 @@
                 connection.close();
             }
             if (last && receiving) {
-                Lingering.close(channel, LastHttpContent.EMPTY_LAST_CONTENT, STRANGER_MS);
-                stop();
+                Lingering.close(channel, LastHttpContent.EMPTY_LAST_CONTENT, STRANGER_MS)
+                        .addListener(done -> stop(done.isSuccess()));
                 return;
             }
             // Until it has all gone out the client may still stand still.
             ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-            written.addListener(done -> stop());
+            written.addListener(done -> stop(done.isSuccess()));
             if (last) {
                 written.addListener(ChannelFutureListener.CLOSE);
             } else {
@@ -870,7 +889,7 @@
         /** The client can tell: it misses the last chunk or the rest of the length, or gets a reset. */
         @Override
         public void broken() {
-            stop();
+            stop(false);
             connection.answering = null;
             connection.close();
             if (endsWithConnection) {
@@ -881,9 +900,10 @@
             }
         }
 
-        private void stop() {
+        private void stop(boolean written) {
             watch.cancel(false);
             flow.end(channel);
+            delivery.ended(written);
         }
     }
 
@@ -891,23 +911,24 @@
     private record Client(Connection connection) implements Driver.Client {
 
         @Override
-        public void served(byte[] body, String type) {
-            connection.answer(HttpResponseStatus.OK, body, type, -1);
+        public void served(byte[] body, String type, Driver.Delivery delivery) {
+            connection.answer(HttpResponseStatus.OK, body, type, -1, delivery);
         }
 
         @Override
-        public BackendPool.Sink begins(BackendPool.Exchange from, String type, long length) {
-            return connection.begins(from, type, length);
+        public BackendPool.Sink begins(BackendPool.Exchange from, String type, long length,
+                Driver.Delivery delivery) {
+            return connection.begins(from, type, length, delivery);
         }
 
         @Override
-        public void refused(long retryAfterUs) {
-            connection.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, null, null, retryAfterUs);
+        public void refused(long retryAfterUs, Driver.Delivery delivery) {
+            connection.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, null, null, retryAfterUs, delivery);
         }
 
         @Override
-        public void failed() {
-            connection.answer(HttpResponseStatus.BAD_GATEWAY, null, null, -1);
+        public void failed(Driver.Delivery delivery) {
+            connection.answer(HttpResponseStatus.BAD_GATEWAY, null, null, -1, delivery);
         }
     }
 }
--- a/src/main/java/larkworks/proxy/Lingering.java
+++ b/src/main/java/larkworks/proxy/Lingering.java
@@ -1,6 +1,7 @@
 package larkworks.proxy;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.socket.DuplexChannel;
 import java.util.concurrent.TimeUnit;
 
@@ -12,10 +13,14 @@
 
     private Lingering() { }
 
-    /** Writes the message, ends the sending, and closes once the peer has or the time is over. */
-    static void close(Channel channel, Object message, long mostMs) {
+    /**
+     * Writes the message, ends the sending, and closes once the peer has or the time is over.
+     *
+     * @return how the writing of the message ends
+     */
+    static ChannelFuture close(Channel channel, Object message, long mostMs) {
         channel.config().setAutoRead(true);
-        channel.writeAndFlush(message).addListener(written -> {
+        return channel.writeAndFlush(message).addListener(written -> {
             if (!written.isSuccess()) {
                 channel.close();
                 return;
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -276,12 +276,13 @@
         }
     }
 
-    /** What is held for clients: requests, bytes of bodies, connections. */
-    record Held(boolean requests, int bodyBytes, int connections) { }
+    /** What is held for clients: requests, how many of them past their deadline, bodies, connections. */
+    record Held(boolean requests, int overdue, int bodyBytes, int connections) { }
 
     /** What is held for clients now, for tests that show it given back; to be asked on the loop. */
     Held held() {
-        return new Held(!driver.isIdle(), frontend.heldBytes(), frontend.connections());
+        return new Held(!driver.isIdle(), driver.overdue().size(), frontend.heldBytes(),
+                frontend.connections());
     }
 
     /** The one loop, for tests that make several things happen in one turn of it. */
@@ -348,7 +349,8 @@
         frontend.closeUnused();
         boolean late = driver.clock().nowUs() > driver.lastDueUs() + TRANSFER_MS * 1000;
         if (late) {
-            LOG.warn("stopped with large bodies on their way");
+            LOG.warn("stopped with requests that have not ended");
+            driver.logPending("the process ends");
         }
         if (late || driver.isIdle() && frontend.isEmpty()) {
             finished.countDown();
--- a/src/main/java/larkworks/proxy/Warmup.java
+++ b/src/main/java/larkworks/proxy/Warmup.java
@@ -62,22 +62,26 @@
     }
 
     @Override
-    public void served(byte[] body, String type) {
+    public void served(byte[] body, String type, Driver.Delivery delivery) {
+        delivery.ended(true);
         loop.execute(this::next);
     }
 
     @Override
-    public BackendPool.Sink begins(BackendPool.Exchange from, String type, long length) {
+    public BackendPool.Sink begins(BackendPool.Exchange from, String type, long length,
+            Driver.Delivery delivery) {
         throw new IllegalStateException("the answer of a warm-up is small");
     }
 
     @Override
-    public void refused(long retryAfterUs) {
+    public void refused(long retryAfterUs, Driver.Delivery delivery) {
+        delivery.ended(true);
         loop.execute(this::next);
     }
 
     @Override
-    public void failed() {
+    public void failed(Driver.Delivery delivery) {
+        delivery.ended(true);
         loop.execute(this::next);
     }
 }
--- a/src/test/java/larkworks/proxy/Bench.java
+++ b/src/test/java/larkworks/proxy/Bench.java
@@ -147,8 +147,21 @@
 
     /** Ends the proxy, but neither backends nor discovery. */
     void stop() {
-        main.close();
+        Main ending = main;
         main = null;
+        assertNoneOverdue(ending);
+        ending.close();
+    }
+
+    /** Whatever a test did, no client may still wait for an answer past its deadline. */
+    private static void assertNoneOverdue(Main proxy) {
+        if (proxy.loop().isShuttingDown()) {
+            return;
+        }
+        Main.Held held = proxy.loop().submit(proxy::held).syncUninterruptibly().getNow();
+        if (held.overdue() > 0) {
+            throw new AssertionError("requests without an answer past their deadline: " + held);
+        }
     }
 
     /** Tells the proxy to end, as SIGTERM does; done once it has finished what it took. */
@@ -289,7 +302,7 @@
     @Override
     public void close() throws IOException {
         if (main != null) {
-            main.close();
+            stop();
         }
         for (Socket socket : clients) {
             socket.close();
