Take the probing of backends out of Driver, and end a probe that cannot begin

Need: Driver held the probes beside the requests. A probe whose start threw stayed counted as out, threw on into the module's turn, and once more in its time-out.

Change: HealthProbes owns them: one place where a probe begins and one where it ends. One that can't begin is told as not sent, as attempts are.

Test: HealthProbesTest; aProbeThatCannotBeginIsToldOnceAsNotSent fails where the exception is passed on as before.

--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -17,14 +16,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import larkworks.Balancer;
 import larkworks.Balancer.Actions;
 import larkworks.Balancer.ListKind;
-import larkworks.Balancer.LoadReport;
 import larkworks.Balancer.Outcome;
 import larkworks.Balancer.Request;
 import larkworks.Balancer.RequestClass;
@@ -51,8 +48,6 @@
     private static final long GUARD_US = 20_000;
     /** Nothing is begun in this last part of a drain's grace: word of it was read later than told. */
     private static final long GRACE_MARGIN_US = 100_000;
-    /** A probe without an answer by then has failed; a live backend answers at once, beside its queue. */
-    private static final long PROBE_US = 50_000;
 
     /** An answer of unknown length is held for this part of its aim, to see whether it is a large one. */
     private static final int HOLD_PART = 10;
@@ -107,7 +102,6 @@
 
     /** What is in force for new requests. */
     private Settings settings;
-    private final boolean loadReports;
     private final Clock clock;
     private final EventLoop loop;
     private final BackendPool pool;
@@ -126,8 +120,7 @@
     /** Backends that the operators called out: nothing goes to them, whatever lists say. */
     private final Set<String> out = new HashSet<>();
     private final PendingRequests requests;
-    /** Probes without an answer yet. */
-    private final Set<Probe> probes = new HashSet<>();
+    private final HealthProbes probes;
     private long lastId;
     /** By then requests that come now must have their answer, whatever time their clients give. */
     private long answerByUs = Long.MAX_VALUE;
@@ -147,11 +140,11 @@
     Driver(Config config, Clock clock, EventLoop loop, BackendPool pool, Meters meters) {
         this.meters = meters;
         this.settings = config.settings();
-        this.loadReports = config.loadReports();
         this.clock = clock;
         this.requests = new PendingRequests(clock);
         this.loop = loop;
         this.pool = pool;
+        this.probes = new HealthProbes(clock, loop, pool, config.loadReports());
         this.seed = config.seed();
         this.newest = new Deciding();
         modules.add(newest);
@@ -460,12 +453,7 @@
                 .filter(attempt -> !attempt.ended && attempt.server.equals(server) && !attempt.begun())
                 .toList();
         connecting.forEach(attempt -> callOff(attempt, Outcome.NOT_SENT));
-        List<Probe> asking = probes.stream()
-                .filter(p -> p.server.equals(server) && !p.exchange.begun()).toList();
-        for (Probe probe : asking) {
-            probe.exchange.abandon();
-            loop.execute(() -> probed(probe, Answer.of(Outcome.NOT_SENT)));
-        }
+        probes.endConnecting(server);
     }
 
     private static void down(long toldUs, Backend b, ServerStatus status) {
@@ -828,56 +816,13 @@
     }
 
     private void probe(String server, Deciding module) {
+        HealthProbes.Listener told = (asked, outcome, tookUs, report) -> enter(
+                () -> module.balancer.probeResult(clock.nowUs(), asked, outcome, tookUs, report));
         Backend backend = backends.get(server);
-        Probe probe = new Probe(server, module, clock.nowUs());
-        probes.add(probe);
         if (backend == null || out.contains(server)) {
-            probed(probe, Answer.of(Outcome.NOT_SENT));
-            return;
-        }
-        probe.timeout = loop.schedule(() -> {
-            probe.exchange.abandon();
-            probed(probe, Answer.of(Outcome.TIMEOUT));
-        }, PROBE_US, TimeUnit.MICROSECONDS);
-        probe.exchange = pool.begin(backend.address, () -> {
-            if (barred(server, backend)) {
-                return null;
-            }
-            FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    loadReports ? "/stats" : "/health/live", Unpooled.EMPTY_BUFFER);
-            message.headers().set(HttpHeaderNames.HOST, host(backend.address));
-            return message;
-        }, answer -> probed(probe, answer));
-    }
-
-    /** A probe that is out. */
-    private static final class Probe {
-        final String server;
-        final Deciding module;
-        final long sentAtUs;
-        BackendPool.Exchange exchange;
-        Future<?> timeout;
-
-        Probe(String server, Deciding module, long sentAtUs) {
-            this.server = server;
-            this.module = module;
-            this.sentAtUs = sentAtUs;
-        }
-    }
-
-    private void probed(Probe probe, Answer answer) {
-        if (!probes.remove(probe)) {
-            return;
-        }
-        if (probe.timeout != null) {
-            probe.timeout.cancel(false);
+            probes.skip(server, told);
+        } else {
+            probes.send(server, backend.address, () -> barred(server, backend), told);
         }
-        enter(() -> {
-            long now = clock.nowUs();
-            LoadReport report = answer.report() != null ? answer.report()
-                    : loadReports ? BackendPool.report(BackendPool.text(answer.body())) : null;
-            probe.module.balancer.probeResult(now, probe.server, answer.outcome(), now - probe.sentAtUs,
-                    report);
-        });
     }
 }
