Half-close after a client's last answer and read on, so that no answer is lost to a reset

Need: a last answer was written and its connection closed at once. Where the client's next request lay unread, the close reset the connection, and what the system held of the answers went with it. A connection closed as unused at the end of the process, or evicted, lost what the proxy itself had not written yet: a slow reader missed whole answers.

Change: Lingering is LingeringClose, and every path of Frontend that closes after an answer uses it: write, end the sending, drop unread what comes (it is not even decoded), close at the peer's end or after 2.5 s, 1 s once the process is told to end. One timer serves all. A peer that takes nothing of its last answer for 10 s is reset. Connections that linger are counted and go first where descriptors run short; the second address evicts them first too.

--- a/src/main/java/larkworks/proxy/Admin.java
+++ b/src/main/java/larkworks/proxy/Admin.java
@@ -58,11 +58,13 @@
     private final Meters meters;
     /** Connections, the longest silent first. */
     private final Set<Channel> open = new LinkedHashSet<>();
+    private final LingeringClose lingering;
 
     Admin(EventLoop loop, BooleanSupplier ready, Maintenance maintenance,
             Map<String, Supplier<String>> tables, Meters meters) {
         this.meters = meters;
         this.loop = loop;
+        this.lingering = new LingeringClose(loop, LINGER_MS);
         this.ready = ready;
         this.maintenance = maintenance;
         this.tables = tables;
@@ -90,7 +92,7 @@
         open.add(channel);
         channel.closeFuture().addListener(closed -> open.remove(channel));
         loop.schedule(() -> channel.close(), PATIENCE_MS, TimeUnit.MILLISECONDS);
-        if (open.size() > MOST_CONNECTIONS) {
+        if (open.size() > MOST_CONNECTIONS && !lingering.evict()) {
             open.iterator().next().close();
         }
     }
@@ -152,7 +154,7 @@
     }
 
     /** Turns away a body that is too large; the rest of it is read, so that the answer arrives. */
-    private static final class Aggregator extends HttpObjectAggregator {
+    private final class Aggregator extends HttpObjectAggregator {
 
         Aggregator() {
             super(MOST_BODY, true);
@@ -160,8 +162,8 @@
 
         @Override
         protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-            Lingering.close(context.channel(), response(
-                    new Reply(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")), LINGER_MS);
+            lingering.close(context.channel(), response(
+                    new Reply(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")));
         }
     }
 
@@ -187,11 +189,11 @@
             answered = true;
             if (meters != null && call.uri().equals("/metrics") && call.method().equals(HttpMethod.GET)) {
                 Channel channel = context.channel();
-                meters.scrape(text -> loop.execute(() -> Lingering.close(channel, response(
-                        new Reply(HttpResponseStatus.OK, METRICS_TYPE, text)), LINGER_MS)));
+                meters.scrape(text -> loop.execute(() -> lingering.close(channel, response(
+                        new Reply(HttpResponseStatus.OK, METRICS_TYPE, text)))));
                 return;
             }
-            Lingering.close(context.channel(), response(reply(call)), LINGER_MS);
+            lingering.close(context.channel(), response(reply(call)));
         }
 
         @Override
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -7,12 +7,10 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -50,6 +48,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import larkworks.Balancer.Effect;
 import larkworks.Balancer.RequestClass;
@@ -68,7 +67,7 @@
     /** What all requests together may fill with bodies that are held whole, or not known to be large yet. */
     private static final int MOST_HELD = 8 << 20;
     /** A transfer that stands still for so long is cut off. */
-    private static final long STALL_MS = 10_000;
+    private static final long STALL_MS = LingeringClose.STALL_MS;
     /** Who is silent for so long goes first where descriptors run short: honest heads come in pieces. */
     private static final long SILENT_MS = 300;
     /**
@@ -77,6 +76,9 @@
      */
     private static final long STRANGER_MS = 2_500;
 
+    /** At its end the process waits no longer for clients to close than this. */
+    private static final long LAST_LINGER_MS = 1_000;
+
     /** Reads of one connection in a turn: a request of the usual size, and the end behind it. */
     private static final int MOST_READS = 16;
 
@@ -91,6 +93,8 @@
     /** Those that have not carried a whole request yet, likewise. */
     private final Set<Connection> strangers = new LinkedHashSet<>();
     private final Flow flow = new Flow();
+    /** Connections whose last answer has gone, with the time that a silent client has. */
+    private final LingeringClose lingering;
     private Channel listener;
     private ServerSocketChannel accepting;
     private int connections;
@@ -102,6 +106,7 @@
         this.loop = loop;
         this.sockets = sockets;
         this.driver = driver;
+        this.lingering = new LingeringClose(loop, STRANGER_MS);
         this.settings = config.settings();
         for (int i = 0; i < settings.classes().size(); i++) {
             classes.put(settings.classes().get(i).name(), i);
@@ -166,6 +171,7 @@
     /** From now on not ready, and each answer closes its connection; new connections still come. */
     void drain() {
         draining = true;
+        lingering.limit(LAST_LINGER_MS);
     }
 
     boolean drains() {
@@ -181,14 +187,19 @@
 
     /**
      * Closes connections on which no request has begun to come: clients send on every one that stays open, to
-     * the end of the process. One that never carried any may have its first on the way for a moment.
+     * the end of the process. One that never carried any may have its first on the way for a moment. What
+     * crosses the close can't be seen; it is dropped unanswered, and its client, which
+     * has the last answer whole and then the end, sends it once more.
      */
     void closeUnused() {
-        long silentSinceMs = nowMs() - SILENT_MS;
         List<Connection> unused = Stream.concat(idle.stream(),
-                strangers.stream().filter(stranger -> stranger.stirredMs < silentSinceMs))
-                .filter(connection -> !connection.stirred && connection.head == null).toList();
-        unused.forEach(connection -> connection.channel.close());
+                strangers.stream().filter(Connection::silentLong))
+                .filter(Connection::unused).toList();
+        unused.forEach(connection -> {
+            if (connection.unused()) {
+                connection.finish(Unpooled.EMPTY_BUFFER);
+            }
+        });
     }
 
     /**
@@ -232,30 +243,28 @@
         return warm && !draining && driver.canServe();
     }
 
+    /** Closes the connection that only waits for its client to close, for longest; false where none does. */
+    boolean evictLingering() {
+        return lingering.evict();
+    }
+
     /** Closes the stranger that has been silent longest, if for a while; false where there is none. */
     boolean evictStranger() {
-        Connection longest = first(strangers);
-        return longest != null && nowMs() - longest.stirredMs > SILENT_MS && evict(longest);
+        return evict(strangers, Connection::silentLong);
     }
 
     /** Closes the client's connection that was idle longest, else any stranger's; false where none is. */
     boolean evict() {
-        Connection longest = first(idle);
-        return evict(longest == null ? first(strangers) : longest);
+        return evict(idle, any -> true) || evict(strangers, any -> true);
     }
 
-    private static boolean evict(Connection chosen) {
-        if (chosen != null) {
-            chosen.idleOf().remove(chosen);
-            chosen.holdNothing();
-            chosen.channel.close();
+    private static boolean evict(Set<Connection> from, Predicate<Connection> wanted) {
+        for (Connection chosen : List.copyOf(from)) {
+            if (wanted.test(chosen) && chosen.evict()) {
+                return true;
+            }
         }
-        return chosen != null;
-    }
-
-    private static Connection first(Set<Connection> connections) {
-        var oldest = connections.iterator();
-        return oldest.hasNext() ? oldest.next() : null;
+        return false;
     }
 
     private static long nowMs() {
@@ -342,14 +351,6 @@
         return uri.isEmpty() ? "" : uri.substring(1, end);
     }
 
-    /** Drops what comes before anything is made of it. */
-    private static final class Discarding extends ChannelInboundHandlerAdapter {
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object bytes) {
-            ReferenceCountUtil.release(bytes);
-        }
-    }
-
     /** A client's connection. Its requests are answered in the order in which they came. */
     private final class Connection extends ChannelInboundHandlerAdapter {
 
@@ -404,10 +405,42 @@
                 // The next connections wait in the listener's queue until one closes.
                 accept(false);
             }
-            patience(loop.schedule(() -> channel.close(), STRANGER_MS, TimeUnit.MILLISECONDS));
+            patience(loop.schedule(this::lateRequest, STRANGER_MS, TimeUnit.MILLISECONDS));
             idleOf().add(this);
         }
 
+        /** Whether no request is there, or has begun to come. */
+        private boolean unused() {
+            return !closing && !stirred && head == null && channel.isActive();
+        }
+
+        private boolean silentLong() {
+            return nowMs() - stirredMs > SILENT_MS;
+        }
+
+        /** Closes at once, but where a whole request has come or an answer goes out; tells whether so. */
+        private boolean evict() {
+            boolean answered = LingeringClose.unwritten(channel) == 0 || nowMs() - stirredMs > STRANGER_MS;
+            if (!answered || !idleOf().remove(this)) {
+                return false;
+            }
+            holdNothing();
+            channel.close();
+            return true;
+        }
+
+        /** Who has asked nothing in its time, or only half, is closed: at once, as no answer is due. */
+        private void lateRequest() {
+            if (!idleOf().contains(this)) {
+                return;
+            }
+            if (LingeringClose.unwritten(channel) > 0) {
+                finish(Unpooled.EMPTY_BUFFER);
+            } else {
+                channel.close();
+            }
+        }
+
         private Set<Connection> idleOf() {
             return proper ? idle : strangers;
         }
@@ -425,7 +458,7 @@
                 idleOf().add(this);
             }
             if (!stirred && head == null && proper) {
-                patience(loop.schedule(() -> channel.close(), STRANGER_MS, TimeUnit.MILLISECONDS));
+                patience(loop.schedule(this::lateRequest, STRANGER_MS, TimeUnit.MILLISECONDS));
             }
             stirred = true;
             stirredMs = nowMs();
@@ -441,7 +474,7 @@
                 boolean first = !later.overrun();
                 if (!later.add(object, now) && first) {
                     // What comes from here on is not even decoded; but read, else its end would not be seen.
-                    context.pipeline().addFirst(new Discarding());
+                    context.pipeline().addFirst(new LingeringClose.Discard());
                 }
             } else {
                 take(object, now);
@@ -519,6 +552,9 @@
         /** Cuts off a body that comes more slowly than clients may send it, or that no backend takes. */
         private void watchBody() {
             patience(loop.schedule(() -> {
+                if (!receiving || closing || !channel.isActive()) {
+                    return;
+                }
                 if (bodyDueMs() <= nowMs() || upload != null && upload.pauseMs() > STALL_MS) {
                     channel.close();
                 } else {
@@ -666,13 +702,8 @@
                         String.format(Locale.ROOT, "%.3f", retryAfterUs / 1e6));
             }
             boolean last = describeEnd(response);
-            if (last && (receiving || later.overrun())) {
-                // The client may read only once it has sent all; it has the time that a silent one has.
-                close();
-                Lingering.close(channel, response, STRANGER_MS);
-            } else if (last) {
-                close();
-                channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            if (last) {
+                finish(response);
             } else {
                 channel.writeAndFlush(response);
                 next();
@@ -690,8 +721,14 @@
             return last;
         }
 
+        /** Writes the last of an answer and closes. The client may read only once it has sent all. */
+        private ChannelFuture finish(Object last) {
+            drop();
+            return lingering.close(channel, last);
+        }
+
         /** Nothing that comes counts from here on. */
-        private void close() {
+        private void drop() {
             closing = true;
             ready = null;
             idleOf().remove(this);
@@ -725,13 +762,12 @@
                 return;
             }
             if (later.overrun() && !stirred) {
-                close();
-                Lingering.close(channel, Unpooled.EMPTY_BUFFER, STRANGER_MS);
+                finish(Unpooled.EMPTY_BUFFER);
                 return;
             }
             idleOf().add(this);
             patience(proper && !stirred ? null
-                    : loop.schedule(() -> channel.close(), STRANGER_MS, TimeUnit.MILLISECONDS));
+                    : loop.schedule(this::lateRequest, STRANGER_MS, TimeUnit.MILLISECONDS));
             if (stirred) {
                 loop.execute(this::takeLater);
             } else {
@@ -821,8 +857,7 @@
         /** Cuts a transfer off that stands still, whoever makes it wait. */
         private void watch() {
             watch = loop.schedule(() -> {
-                ChannelOutboundBuffer waiting = channel.unsafe().outboundBuffer();
-                long now = passed - (waiting == null ? 0 : waiting.totalPendingWriteBytes());
+                long now = passed - LingeringClose.unwritten(channel);
                 if (now == seen) {
                     channel.close();
                 } else {
@@ -848,23 +883,14 @@
         public void end() {
             connection.answering = null;
             connection.held = null;
-            boolean receiving = connection.receiving || connection.later.overrun();
             if (last) {
-                connection.close();
-            }
-            if (last && receiving) {
-                Lingering.close(channel, LastHttpContent.EMPTY_LAST_CONTENT, STRANGER_MS);
-                stop();
+                watch.cancel(false);
+                connection.finish(LastHttpContent.EMPTY_LAST_CONTENT).addListener(done -> flow.end(channel));
                 return;
             }
             // Until it has all gone out the client may still stand still.
-            ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-            written.addListener(done -> stop());
-            if (last) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            } else {
-                connection.next();
-            }
+            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(done -> stop());
+            connection.next();
         }
 
         /** The client can tell: it misses the last chunk or the rest of the length, or gets a reset. */
@@ -872,12 +898,11 @@
         public void broken() {
             stop();
             connection.answering = null;
-            connection.close();
             if (endsWithConnection) {
-                channel.config().setOption(ChannelOption.SO_LINGER, 0);
-                channel.close();
+                connection.drop();
+                LingeringClose.reset(channel);
             } else {
-                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+                connection.finish(Unpooled.EMPTY_BUFFER);
             }
         }
 
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -86,7 +86,7 @@
         if (meters != null) {
             measure();
         }
-        sockets.evictors(frontend::evictStranger, pool::evict, frontend::evict);
+        sockets.evictors(frontend::evictLingering, frontend::evictStranger, pool::evict, frontend::evict);
     }
 
     /**
--- a/src/main/java/larkworks/proxy/Sockets.java
+++ b/src/main/java/larkworks/proxy/Sockets.java
@@ -11,8 +11,9 @@
 import java.util.function.Consumer;
 
 /**
- * Counts the sockets of this process against its limit. At the limit, strangers' silent connections go first,
- * then idle ones to backends, then idle ones of clients: a request in flight outweighs a handshake saved.
+ * Counts the sockets of this process against its limit. At the limit, connections that only wait for their
+ * clients to close go first, then strangers' silent ones, idle ones to backends, and idle ones of clients: a
+ * request in flight outweighs a handshake saved.
  */
 final class Sockets {
 
--- a/src/test/java/larkworks/proxy/Bench.java
+++ b/src/test/java/larkworks/proxy/Bench.java
@@ -6,6 +6,7 @@
 import java.io.UncheckedIOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -16,6 +17,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** A proxy between a test's client, backends and discovery, all on loopback sockets. */
 final class Bench implements AutoCloseable {
@@ -208,13 +210,36 @@
         CountDownLatch over = new CountDownLatch(1);
         main.loop().execute(() -> {
             held.countDown();
+            awaitQuietly(over);
+        });
+        held.await();
+        try {
+            step.run();
+        } finally {
+            over.countDown();
+        }
+    }
+
+    /**
+     * Holds the proxy's loop until timers are due that would have run by then. They run right behind the
+     * step, before anything is read that came during it.
+     */
+    void beforeTimersDueIn(long ms, Step step) throws Exception {
+        CountDownLatch reached = new CountDownLatch(1);
+        CountDownLatch over = new CountDownLatch(1);
+        main.loop().execute(() -> {
+            // Due before those timers, so it comes before them in the turn in which all are.
+            main.loop().schedule(() -> {
+                reached.countDown();
+                awaitQuietly(over);
+            }, 0, TimeUnit.MILLISECONDS);
             try {
-                over.await();
+                Thread.sleep(ms);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
         });
-        held.await();
+        reached.await();
         try {
             step.run();
         } finally {
@@ -222,6 +247,32 @@
         }
     }
 
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Returns once the proxy has looked at all its sockets anew, also at those that it has closed. */
+    void awaitTurn() throws Exception {
+        main.loop().schedule(() -> { }, 1, TimeUnit.MILLISECONDS).get();
+    }
+
+    /** Serves requests until one comes on a connection that is there already. */
+    void connectBackend(int backend) throws Exception {
+        for (int known = -1; known != backends.get(backend).connections();) {
+            known = backends.get(backend).connections();
+            served();
+        }
+    }
+
+    /** Whether the proxy holds a request, its answer or an attempt of it. */
+    boolean holdsRequests() throws Exception {
+        return main.loop().submit(main::held).get().requests();
+    }
+
     /** Returns once the proxy has read all that came to it before, and acted on it. */
     void settle() throws IOException {
         if (client().send("GET /health/live HTTP/1.1\r\nHost: x\r\n\r\n").status() != 200) {
@@ -255,7 +306,19 @@
     }
 
     Client client() throws IOException {
-        Socket socket = new Socket(InetAddress.getByName(HOST), port);
+        return connect(new Socket());
+    }
+
+    /** A client whose system holds little that it has not read: the rest stays with the proxy. */
+    Client slowReader() throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(1 << 12);
+        return connect(socket);
+    }
+
+    private Client connect(Socket socket) throws IOException {
+        socket.connect(new InetSocketAddress(InetAddress.getByName(HOST), port));
+        socket.setTcpNoDelay(true);
         socket.setSoTimeout((int) Peer.LIMIT_S * 1000);
         clients.add(socket);
         return new Client(socket, new BufferedInputStream(socket.getInputStream()));
--- /dev/null
+++ b/src/test/java/larkworks/proxy/ConnectionClosingTest.java
@@ -0,0 +1,171 @@
+package larkworks.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Clients' connections that the proxy closes; see docs/crossings.md. */
+@Timeout(120)
+class ConnectionClosingTest {
+
+    /** What neither a client's small receive buffer holds, nor is too large to be held whole. */
+    private static final int HELD = 40_000;
+    /** What is passed on as it comes. */
+    private static final int LARGE = 66_000;
+    /** For so long the loop is held until a stranger's or a request's time is over. */
+    private static final int BEHIND_MS = 2_600;
+
+    @TempDir
+    Path folder;
+
+    /** Why a connection closes after an answer. */
+    enum Reason {
+        DRAIN, ASKED, OLD_CLIENT;
+
+        private String request(String method, String id, int budgetMs) {
+            return method + " HTTP/1." + (this == OLD_CLIENT ? 0 : 1) + "\r\nHost: x\r\nX-Call-Id: " + id
+                    + "\r\nX-Budget-Ms: " + budgetMs + "\r\nContent-Length: 0\r\n"
+                    + (this == ASKED ? "Connection: close\r\n" : "") + "\r\n";
+        }
+
+        private void come(Bench bench) throws Exception {
+            if (this == DRAIN) {
+                bench.end();
+            }
+        }
+    }
+
+    private static void assertEndsAndSentNothing(Bench bench, Bench.Client client) throws IOException {
+        assertNull(client.answer(), "the connection ends in order");
+        assertEquals(0, bench.backends.get(0).waiting(), "what came behind the last answer went on");
+    }
+
+    // ---- bytes that are on their way when the last answer goes out
+
+    /** Of the answer before the last the system still holds most when the connection closes. */
+    @ParameterizedTest
+    @EnumSource(Reason.class)
+    void allAnswersArriveThoughTheNextRequestIsOnItsWay(Reason why) throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            Bench.Client client = bench.slowReader().look("first")
+                    .send(why.request("POST /act", "last", BEHIND_MS));
+            bench.backends.get(0).next().reply(200, "x".repeat(HELD));
+            assertEquals("last", bench.backends.get(0).next().header("X-Call-Id"));
+            why.come(bench);
+            // The last answer is given as its time ends, with the next request unread.
+            bench.beforeTimersDueIn(BEHIND_MS, () -> client.look("next"));
+            bench.awaitTurn();
+            assertEquals("x".repeat(HELD), client.answer().text());
+            assertEquals(502, client.status());
+            assertEndsAndSentNothing(bench, client);
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Reason.class)
+    void aLargeLastAnswerArrivesWholeThoughTheNextRequestIsOnItsWay(Reason why) throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            // The older connection is read first where both have something.
+            bench.connectBackend(0);
+            Bench.Client client = bench.slowReader().send(why.request("GET /look", "last", 20_000));
+            Peer.Message sent = bench.backends.get(0).next();
+            why.come(bench);
+            sent.raw("HTTP/1.1 200 OK\r\nContent-Length: " + LARGE + "\r\n\r\n" + "x".repeat(LARGE - HELD));
+            bench.settle();
+            bench.inOneTurn(() -> {
+                sent.raw("x".repeat(HELD));
+                client.look("next");
+            });
+            bench.awaitTurn();
+            assertEquals("x".repeat(LARGE), client.answer().text());
+            assertEndsAndSentNothing(bench, client);
+        }
+    }
+
+    @Test
+    void allThatCameOfABrokenAnswerArrivesThoughTheNextRequestIsOnItsWay() throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            bench.connectBackend(0);
+            Bench.Client client = bench.slowReader().look("broken");
+            Peer.Message sent = bench.backends.get(0).next();
+            String head = "HTTP/1.1 200 OK\r\nContent-Length: " + LARGE + "\r\n\r\n";
+            bench.inOneTurn(() -> {
+                sent.raw(head + "x".repeat(HELD));
+                sent.socket().close();
+                client.look("next");
+            });
+            bench.awaitTurn();
+            String came = new String(client.in().readAllBytes(), StandardCharsets.UTF_8);
+            assertEquals("x".repeat(HELD), came.substring(came.indexOf("\r\n\r\n") + 4));
+            assertEquals(0, bench.backends.get(0).waiting());
+        }
+    }
+
+    // ---- connections that nothing was asked on for a while
+
+    /** More answers than the system takes: the rest waits in the proxy while nothing further is asked. */
+    @Test
+    void answersStillGoingOutAreFinishedBeforeTheirConnectionCountsAsUnused() throws Exception {
+        int answers = 200;
+        try (Bench bench = new Bench(1).start(folder)) {
+            Bench.Client client = bench.slowReader();
+            for (int i = 0; i < answers; i++) {
+                client.look(Integer.toString(i));
+                bench.backends.get(0).next().reply(200, "x".repeat(HELD));
+            }
+            bench.settle();
+            CompletableFuture<Void> ended = bench.end();
+            bench.awaitListenerClosed();
+            for (int i = 0; i < answers; i++) {
+                assertEquals("x".repeat(HELD), client.answer().text());
+            }
+            assertEndsAndSentNothing(bench, client);
+            ended.get(Peer.LIMIT_S, TimeUnit.SECONDS);
+        }
+    }
+
+    @Test
+    void theProcessEndsThoughClientsKeepTheirConnectionsOpen() throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            Bench.Client unused = bench.client().look("0");
+            bench.backends.get(0).next().reply(200, "");
+            assertEquals(200, unused.status());
+            Bench.Client answered = bench.client().look("1");
+            Peer.Message sent = bench.backends.get(0).next();
+            CompletableFuture<Void> ended = bench.end();
+            sent.reply(200, "");
+            assertEquals(200, answered.status());
+            ended.get(Peer.LIMIT_S, TimeUnit.SECONDS);
+        }
+    }
+
+    // ---- descriptors
+
+    @Test
+    void connectionsThatOnlyWaitForTheirClientsToCloseTakeNoDescriptorFromOthers() throws Exception {
+        try (Bench bench = new Bench(1)) {
+            bench.sockets = 64;
+            bench.start(folder);
+            List<Bench.Client> lingering = new ArrayList<>();
+            for (int i = 0; i < 200; i++) {
+                Bench.Client client = bench.client();
+                lingering.add(client);
+                client.send(Reason.ASKED.request("GET /look", Integer.toString(i), 20_000));
+                bench.backends.get(0).next().reply(200, "");
+                assertEquals(200, client.status());
+            }
+        }
+    }
+}
