Read what has come from a client before its idle connection is closed or evicted

Need: connections without a request were closed by what had been read of them. Of clients that came at once, those accepted in one turn pushed one another out with their requests in the system, and a stranger whose time ended while the loop was behind was closed over its request.

Change: one read before the close. A whole request stays and is served. What comes between that read and the close still crosses it: after a half-close (unused connections at the end) it is dropped and the client sees the end; an evicted one is reset, as its descriptor is wanted at once.

Measured: without the change ConnectionClosingTest.noRequestThatLiesUnread... fails (closed without an answer, the first of 48) and aStrangersRequestIsServed... fails (nothing came to the backend).

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -99,6 +100,8 @@
     private ServerSocketChannel accepting;
     private int connections;
     private int heldBytes;
+    /** Whether a connection is read out of its turn. */
+    private boolean readingNow;
     private boolean warm;
     private boolean draining;
 
@@ -187,15 +190,16 @@
 
     /**
      * Closes connections on which no request has begun to come: clients send on every one that stays open, to
-     * the end of the process. One that never carried any may have its first on the way for a moment. What
-     * crosses the close can't be seen; it is dropped unanswered, and its client, which
-     * has the last answer whole and then the end, sends it once more.
+     * the end of the process. One that never carried any may have its first on the way for a moment. What has
+     * come is read first. What crosses the close can't be seen; it is dropped unanswered, and its client,
+     * which has the last answer whole and then the end, sends it once more.
      */
     void closeUnused() {
         List<Connection> unused = Stream.concat(idle.stream(),
                 strangers.stream().filter(Connection::silentLong))
                 .filter(Connection::unused).toList();
         unused.forEach(connection -> {
+            connection.readNow();
             if (connection.unused()) {
                 connection.finish(Unpooled.EMPTY_BUFFER);
             }
@@ -259,9 +263,13 @@
     }
 
     private static boolean evict(Set<Connection> from, Predicate<Connection> wanted) {
+        // A copy, as reading moves those from which something comes.
         for (Connection chosen : List.copyOf(from)) {
-            if (wanted.test(chosen) && chosen.evict()) {
-                return true;
+            if (wanted.test(chosen)) {
+                chosen.readNow();
+                if (wanted.test(chosen) && chosen.evict()) {
+                    return true;
+                }
             }
         }
         return false;
@@ -418,6 +426,18 @@
             return nowMs() - stirredMs > SILENT_MS;
         }
 
+        /** Reads what the system has by now, as is done in the loop's next turn: it may be behind. */
+        private void readNow() {
+            if (!readingNow && channel.isActive() && channel.config().isAutoRead()) {
+                readingNow = true;
+                try {
+                    ((NioUnsafe) channel.unsafe()).read();
+                } finally {
+                    readingNow = false;
+                }
+            }
+        }
+
         /** Closes at once, but where a whole request has come or an answer goes out; tells whether so. */
         private boolean evict() {
             boolean answered = LingeringClose.unwritten(channel) == 0 || nowMs() - stirredMs > STRANGER_MS;
@@ -431,6 +451,7 @@
 
         /** Who has asked nothing in its time, or only half, is closed: at once, as no answer is due. */
         private void lateRequest() {
+            readNow();
             if (!idleOf().contains(this)) {
                 return;
             }
@@ -552,6 +573,7 @@
         /** Cuts off a body that comes more slowly than clients may send it, or that no backend takes. */
         private void watchBody() {
             patience(loop.schedule(() -> {
+                readNow();
                 if (!receiving || closing || !channel.isActive()) {
                     return;
                 }
--- a/src/test/java/larkworks/proxy/ConnectionClosingTest.java
+++ b/src/test/java/larkworks/proxy/ConnectionClosingTest.java
@@ -1,6 +1,7 @@
 package larkworks.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import java.io.IOException;
@@ -151,6 +152,17 @@
         }
     }
 
+    @Test
+    void aStrangersRequestIsServedThoughTheLoopReadsItOnlyAfterItsTime() throws Exception {
+        try (Bench bench = new Bench(1).start(folder)) {
+            Bench.Client client = bench.client();
+            bench.settle();
+            bench.beforeTimersDueIn(BEHIND_MS, () -> client.look("late to be read"));
+            bench.backends.get(0).next().reply(200, "served");
+            assertEquals("served", client.answer().text());
+        }
+    }
+
     // ---- descriptors
 
     @Test
@@ -168,4 +180,34 @@
             }
         }
     }
+
+    /** Clients that come at once send their requests with their connections. */
+    @Test
+    void noRequestThatLiesUnreadIsClosedToMakeRoomForOthers() throws Exception {
+        try (Bench bench = new Bench(1)) {
+            bench.sockets = 64;
+            bench.start(folder);
+            List<Bench.Client> crowd = new ArrayList<>();
+            bench.inOneTurn(() -> {
+                for (int i = 0; i < 48; i++) {
+                    crowd.add(bench.client().look(Integer.toString(i)));
+                }
+            });
+            Thread backend = new Thread(() -> {
+                try {
+                    while (true) {
+                        bench.backends.get(0).next().reply(200, "");
+                    }
+                } catch (InterruptedException | AssertionError | RuntimeException e) {
+                    // The test is over.
+                }
+            });
+            backend.setDaemon(true);
+            backend.start();
+            for (int i = 0; i < crowd.size(); i++) {
+                assertNotNull(crowd.get(i).answer(), "closed without an answer: " + i);
+                crowd.get(i).socket().close();
+            }
+        }
+    }
 }
