Reset a cut-off answer that ends with its connection, which a plain end makes look whole

Need: an answer to an HTTP/1.0 client, without length or chunks, was closed in order where the proxy cut it off: stalled, or with the body of its request late or broken.

Change: such a connection is reset (Connection.cut).

Measured: LargeBodyTest.anAnswerThatEndsWithItsConnectionDoesNotLookWhole... fails without it.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -578,7 +578,7 @@
                     return;
                 }
                 if (bodyDueMs() <= nowMs() || upload != null && upload.pauseMs() > STALL_MS) {
-                    channel.close();
+                    cut();
                 } else {
                     watchBody();
                 }
@@ -698,7 +698,7 @@
             if (answering == null) {
                 answer(why.status, why.getMessage().getBytes(StandardCharsets.US_ASCII), "text/plain", -1);
             } else {
-                channel.close();
+                cut();
             }
         }
 
@@ -749,6 +749,15 @@
             return lingering.close(channel, last);
         }
 
+        /** Closes at once; an answer that ends with its connection must not look whole. */
+        private void cut() {
+            if (answering != null && answering.endsWithConnection) {
+                LingeringClose.reset(channel);
+            } else {
+                channel.close();
+            }
+        }
+
         /** Nothing that comes counts from here on. */
         private void drop() {
             closing = true;
@@ -831,7 +840,7 @@
             if (!(cause instanceof IOException)) {
                 System.err.println("client connection: " + cause);
             }
-            context.close();
+            cut();
         }
 
         private BackendPool.Sink begins(BackendPool.Exchange from, String type, long length) {
@@ -881,7 +890,7 @@
             watch = loop.schedule(() -> {
                 long now = passed - LingeringClose.unwritten(channel);
                 if (now == seen) {
-                    channel.close();
+                    connection.cut();
                 } else {
                     seen = now;
                     watch();
--- a/src/test/java/larkworks/proxy/LargeBodyTest.java
+++ b/src/test/java/larkworks/proxy/LargeBodyTest.java
@@ -497,6 +497,19 @@
         assertTrue(server.ends());
     }
 
+    /** The answer has begun when it is cut off for the body that stops. */
+    @Test
+    void anAnswerThatEndsWithItsConnectionDoesNotLookWholeWhereItIsCutOff() throws Exception {
+        Line client = client().send(post("r", "Content-Length: 200000\r\n")
+                .replace("HTTP/1.1", "HTTP/1.0")).send(body, 0, 80_000);
+        Line server = accepted();
+        server.head();
+        server.send("HTTP/1.1 200 OK\r\n\r\nhalf");
+        client.head();
+        client.bytes(4);
+        assertThrows(SocketException.class, client.in::read, "a plain end would look whole");
+    }
+
     @Test
     void aClientThatLeavesHalfWayFreesItsBackend() throws Exception {
         Line sender = client().send(post("r", "Content-Length: 300000\r\n")).send(body, 0, 100_000);
