--- a/src/main/java/larkworks/Logic.java
+++ b/src/main/java/larkworks/Logic.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 
 /**
  * Every decision of the balancer. Its types, events and actions are in {@link Balancer} (Balancer.java).
@@ -155,6 +156,9 @@
     private final List<Collection<String>> affinities = new ArrayList<>();
     private double gapUs;
     private long lastSendUs = Long.MIN_VALUE;
+    /** Time between two calls of this copy that a warm server serves, and when any served the last one. */
+    private double servedUs;
+    private long servedAtUs = Long.MIN_VALUE;
 
     /**
      * A new copy, which knows no server yet.
@@ -186,14 +190,10 @@
     @Override
     public void serversChanged(long nowUs, ListKind kind, List<Server> list) {
         if (kind != ListKind.CHANGES) {
-            for (Backend s : servers) {
-                s.up = false;
-            }
+            servers.forEach(s -> s.up = false);
             out.replaceAll((id, line) -> null);
         }
-        for (Server line : list) {
-            learn(nowUs, line);
-        }
+        list.forEach(line -> learn(nowUs, line));
         settle();
         if (!begun) {
             begun = true;
@@ -325,14 +325,23 @@
     }
 
     /**
-     * Time between two turns of a cold server, in a round over all servers at this copy's pace. If every copy
-     * keeps it, the server gets no more than a safe part of what would push it over, taking it that a warm
-     * one can do what it is sent now; in a jam, only the part of it that is served.
+     * Time between two turns of a server, in a round over all at this copy's pace. If every copy keeps it,
+     * a cold one gets no more than a safe part of what would push it over, taking it that a warm one can do
+     * what it serves now; what it is sent may be more, as a call turned away goes on to further servers.
      */
     private double turnUs(Backend s, long nowUs) {
         double share = share(s, nowUs);
-        double over = share < 1 ? Math.max(1, (tally.tried() - BEGUN_FREE) / Math.max(1, tally.served())) : 1;
-        return paceUs() / s.part * Math.max(1, over / (share * settings.rules().tipMultiple() * COLD_MARGIN));
+        double safeUs = share == 1 ? 0 : (servedUs > 0 ? servedUs : paceUs())
+                / (share * settings.rules().tipMultiple() * COLD_MARGIN);
+        return Math.max(paceUs(), safeUs) / s.part;
+    }
+
+    /** Learns how often a server serves a call of this copy: one that is warm, a cold one counts in part. */
+    private void countServed(long nowUs) {
+        double warm = subset.stream().mapToDouble(s -> s.part * share(s, nowUs)).sum();
+        double each = (nowUs - servedAtUs) * warm;
+        servedUs += servedAtUs == Long.MIN_VALUE ? 0 : (each - servedUs) * (servedUs == 0 ? 1 : MEAN_WEIGHT);
+        servedAtUs = nowUs;
     }
 
     /** Time in which this copy goes round all servers. */
@@ -537,13 +546,8 @@
         int sent = 0;
         int atOnce = reportedLoad < LIGHT_LOAD || !quick ? 1 : PROBES_AT_ONCE;
         while (call.probeRounds < PROBE_ROUNDS && sent < atOnce && probes >= 1) {
-            Backend s = null;
-            for (Backend b : subset) {
-                if (b.probedAtUs == Long.MIN_VALUE && b.reportUntilUs <= nowUs && open(nowUs, call, b)
-                        && (s == null || better(nowUs, b, s))) {
-                    s = b;
-                }
-            }
+            Backend s = best(nowUs, subset, b -> b.probedAtUs == Long.MIN_VALUE && b.reportUntilUs <= nowUs
+                    && open(nowUs, call, b));
             if (s == null) {
                 break;
             }
@@ -605,11 +609,7 @@
         if (!call.attempts.isEmpty() && !call.ended) {
             pending.add(call);
         }
-        for (Attempt a : call.attempts) {
-            if (a.out && !a.answering) {
-                begin(nowUs, a);
-            }
-        }
+        call.attempts.stream().filter(a -> a.out && !a.answering).forEach(a -> begin(nowUs, a));
         advance(nowUs);
     }
 
@@ -623,27 +623,25 @@
 
     /** The server whose turn it is among those the call may use, or only those just found idle; or null. */
     private Backend pick(long nowUs, Call call, boolean foundIdle) {
-        Backend best = null;
-        for (String id : affinities.get(call.request.requestClass())) {
-            Backend s = byId.get(id);
-            if (s != null && load(nowUs, s) == 0 && !demoted(nowUs, s) && usable(nowUs, call, s)
-                    && (best == null || better(nowUs, s, best))) {
-                best = s;
-            }
-        }
-        for (Backend s : best != null ? List.<Backend>of() : subset) {
-            boolean idle = s.reportUntilUs > nowUs && load(nowUs, s) == 0 && !demoted(nowUs, s);
-            if ((idle || !foundIdle) && usable(nowUs, call, s) && (best == null || better(nowUs, s, best))) {
-                best = s;
-            }
+        Collection<String> first = affinities.get(call.request.requestClass());
+        Backend best = first.isEmpty() ? null : best(nowUs, servers, s -> first.contains(s.id)
+                && load(nowUs, s) == 0 && !demoted(nowUs, s) && usable(nowUs, call, s));
+        if (best == null) {
+            best = best(nowUs, subset, s -> (!foundIdle || s.reportUntilUs > nowUs && load(nowUs, s) == 0
+                    && !demoted(nowUs, s)) && usable(nowUs, call, s));
         }
         if (best == null && !foundIdle && subset.size() < servers.size()) {
-            for (Backend s : servers) {
-                // A cold one is left to the copies that count it in their turns: all others would crowd it.
-                if (share(s, nowUs) == 1 && usable(nowUs, call, s)
-                        && (best == null || better(nowUs, s, best))) {
-                    best = s;
-                }
+            // A cold one is left to the copies that count it in their turns: all others would crowd it.
+            best = best(nowUs, servers, s -> share(s, nowUs) == 1 && usable(nowUs, call, s));
+        }
+        return best;
+    }
+
+    private Backend best(long nowUs, List<Backend> among, Predicate<Backend> allowed) {
+        Backend best = null;
+        for (Backend s : among) {
+            if (allowed.test(s) && (best == null || better(nowUs, s, best))) {
+                best = s;
             }
         }
         return best;
@@ -827,8 +825,11 @@
             attempt.server.reported = FULL_LOAD;
             attempt.server.reportUntilUs = nowUs + (long) (callUs * BUSY_HOLDS);
         }
-        if (outcome == Outcome.OK && nowUs <= call.endAtUs) {
-            tally.count(nowUs, call, true);
+        if (outcome == Outcome.OK) {
+            countServed(nowUs);
+            if (nowUs <= call.endAtUs) {
+                tally.count(nowUs, call, true);
+            }
         }
     }
 
