Reckon the wait for a cold server by its mean share meanwhile, not by its share now

Cause: a copy's turn at a cold server came once the time since the last one was over its wait by the share of capacity that the server has now. As that share rises evenly, what all copies had sent by a time t was the share now x t, not the sum of the shares up to t: up to twice as much a second, where copies have few calls.

Change: the share half-way between the last turn and now, which is the mean over the wait.

--- a/src/main/java/larkworks/Logic.java
+++ b/src/main/java/larkworks/Logic.java
@@ -666,9 +666,10 @@
         return any;
     }
 
-    /** When a rest and the wait for entry are over; the wait is reckoned by what the server can do now. */
+    /** When a rest and the wait for entry are over; a cold server's by what it could do half-way through. */
     private long opensAtUs(long nowUs, Backend s) {
-        long entryAtUs = s.entryTurns == 0 ? nowUs : s.entryFromUs + (long) (s.entryTurns * turnUs(s, nowUs));
+        long atUs = share(s, nowUs) < 1 ? s.entryFromUs + (nowUs - s.entryFromUs) / 2 : nowUs;
+        long entryAtUs = s.entryTurns == 0 ? nowUs : s.entryFromUs + (long) (s.entryTurns * turnUs(s, atUs));
         return Math.max(s.restUntilUs, Math.min(s.entryByUs, entryAtUs));
     }
 
--- a/src/test/java/larkworks/ColdServerFleetTest.java
+++ b/src/test/java/larkworks/ColdServerFleetTest.java
@@ -40,6 +40,15 @@
                 }
             }
         }
+        // Many copies, each of which expects less than one call at a cold server in the stated time.
+        for (int copies : new int[] {60, 100, 200}) {
+            for (double capacity : new double[] {20, 60}) {
+                for (double burst : new double[] {1.5, 2.2}) {
+                    all.add(Arguments.of(new Scenario(Scenario.equal(copies), 12, 4, 2, capacity, LOAD, burst,
+                            false)));
+                }
+            }
+        }
         // More cold servers than warm ones.
         all.add(Arguments.of(new Scenario(Scenario.unequal(30), 10, 8, 5, 20, LOAD, 1.5, true)));
         all.add(Arguments.of(new Scenario(Scenario.unequal(30), 10, 8, 5, 20, LOAD, 1.5, false)));
