Keep discovery's connection out of the count of sockets, so that it never waits for one

Need: backends and discovery took sockets from one count. With all of them held by requests in flight the reconnect was refused until one ended, and with idle clients it closed somebody's connection first.

Change: the one connection to discovery is part of the reserve, which was always meant to hold it: it is neither counted nor refused, and evicts nobody.

Tests: reachesDiscoveryThoughRequestsInFlightHoldAllSockets fails without the mend (Discovery turned back: the drain came only once the requests in flight had ended as 502). connectsToDiscoveryWithout... needs the new method. aCrowdOfIdleClients..., a process under ulimit -n with 600 idle clients, passes without the mend too: idle connections were evicted for discovery's before.

--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -193,7 +193,7 @@
         limit((index < 0 ? 0 : WAIT_MS) + SILENCE_MS);
         if (channel != null && channel.isActive()) {
             write(channel);
-        } else if (sockets.take()) {
+        } else {
             Bootstrap own = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) SILENCE_MS)
@@ -205,7 +205,7 @@
                                     new HttpObjectAggregator(MOST_LIST), new Reader());
                         }
                     });
-            channel = sockets.connect(own, loop, addresses.get(at), connected -> {
+            channel = sockets.connectReserved(own, loop, addresses.get(at), connected -> {
                 if (connected == null) {
                     noSocket(from);
                 } else if (connected.isSuccess()) {
@@ -214,8 +214,6 @@
                     lost(connected.channel());
                 }
             });
-        } else {
-            loop.execute(() -> noSocket(from));
         }
     }
 
--- a/src/main/java/larkworks/proxy/Sockets.java
+++ b/src/main/java/larkworks/proxy/Sockets.java
@@ -69,7 +69,7 @@
         }
     }
 
-    /** Takes a socket for a connection to a backend or to discovery; false where none is left. */
+    /** Takes a socket for a connection to a backend; false where none is left. */
     boolean take() {
         makeRoom(mostForBackends);
         if (open >= mostForBackends) {
@@ -87,14 +87,30 @@
      */
     Channel connect(Bootstrap bootstrap, EventLoop loop, InetSocketAddress address,
             Consumer<ChannelFuture> told) {
+        return connect(bootstrap, loop, address, this::release, told);
+    }
+
+    /**
+     * Connects to discovery. Its one connection is part of the reserve: it needs no socket to be taken, so
+     * that it waits for none and costs nobody else's connection, whoever holds all the others.
+     *
+     * @see #connect(Bootstrap, EventLoop, InetSocketAddress, Consumer)
+     */
+    Channel connectReserved(Bootstrap bootstrap, EventLoop loop, InetSocketAddress address,
+            Consumer<ChannelFuture> told) {
+        return connect(bootstrap, loop, address, () -> { }, told);
+    }
+
+    private static Channel connect(Bootstrap bootstrap, EventLoop loop, InetSocketAddress address,
+            Runnable ended, Consumer<ChannelFuture> told) {
         ChannelFuture connecting = bootstrap.connect(address);
         if (!connecting.channel().isRegistered() && connecting.isDone()) {
             // Such a channel has no loop: it never tells of its closing, and its listeners run elsewhere.
-            release();
+            ended.run();
             loop.execute(() -> told.accept(null));
             return null;
         }
-        connecting.channel().closeFuture().addListener(closed -> release());
+        connecting.channel().closeFuture().addListener(closed -> ended.run());
         connecting.addListener(done -> told.accept(connecting));
         return connecting.channel();
     }
