End what still connects to a backend once a list says that it is gone

Need: what a whole list doesn't name is gone, also where it still answers. An attempt or probe that was still connecting there kept its backend until the connect or the drain's grace was over.

Change: as at an operator's call it ends as not sent, and the module sends it elsewhere.

Test: endsAConnectingAttemptToABackendThatIsGone fails without the mend (no request came elsewhere in 30 s).

--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -444,8 +444,10 @@
                 });
             }
             all(balancer -> balancer.serversChanged(now, kind, servers));
-            // Attempts that are still connecting keep their backend, and so the time it went down.
-            backends.values().removeIf(b -> b.status == ServerStatus.GONE);
+            List<String> gone = backends.entrySet().stream()
+                    .filter(b -> b.getValue().status == ServerStatus.GONE).map(Map.Entry::getKey).toList();
+            gone.forEach(this::endConnecting);
+            backends.keySet().removeAll(gone);
             resting.keySet().retainAll(backends.keySet());
             if (shared != null) {
                 loop.execute(shared::known);
@@ -484,10 +486,11 @@
     /** Ends what is on its way to a backend and has not begun. */
     private void endConnecting(String server) {
         List<Try> tries = requests.values().stream().flatMap(held -> held.tries.stream())
-                .filter(t -> !t.ended && t.server.equals(server) && !t.exchange.begun()).toList();
+                .filter(t -> !t.ended && t.server.equals(server) && t.exchange != null
+                        && !t.exchange.begun()).toList();
         tries.forEach(attempt -> callOff(attempt, Outcome.NOT_SENT));
         List<Probe> asking = probes.stream()
-                .filter(p -> p.server.equals(server) && !p.exchange.begun()).toList();
+                .filter(p -> p.server.equals(server) && p.exchange != null && !p.exchange.begun()).toList();
         for (Probe probe : asking) {
             probe.exchange.abandon();
             loop.execute(() -> probed(probe, Answer.of(Outcome.NOT_SENT)));
--- a/src/test/java/larkworks/proxy/DiscoveryTermsTest.java
+++ b/src/test/java/larkworks/proxy/DiscoveryTermsTest.java
@@ -203,6 +203,27 @@
         assertEquals(200, client.status());
     }
 
+    /** What is still connecting there goes elsewhere, long before the connect or the grace is over. */
+    @ParameterizedTest
+    @ValueSource(strings = {"left out", "terminated"})
+    void endsAConnectingAttemptToABackendThatIsGone(String how) throws Exception {
+        try (Bench bench = new Bench(1); Hanging gone = new Hanging()) {
+            bench.connectTimeoutUs = 25_000_000;
+            bench.drainGraceUs = 60_000_000;
+            String up = Bench.list(1, true, Bench.entry("b", gone.address(), "in_service"));
+            bench.start(folder, up);
+            bench.discovery.next().reply(200, up);
+            Peer.Message watch = afterTaking(bench, 1);
+            Bench.Client client = bench.client().look("r");
+            bench.settle();
+            watch.reply(200, how.equals("left out") ? Bench.list(2, true, bench.entry(0, "in_service"))
+                    : Bench.list(2, false, Bench.entry("b", gone.address(), "terminated"),
+                            bench.entry(0, "in_service")));
+            bench.backends.get(0).next().reply(200, "elsewhere");
+            assertEquals("elsewhere", client.answer().text());
+        }
+    }
+
     /** All watches are reset some time before backends begin to drain. */
     @ParameterizedTest
     @ValueSource(strings = {"pushed", "on_request"})
