--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -409,8 +409,10 @@
                 });
             }
             all(balancer -> balancer.serversChanged(now, kind, servers));
-            // Attempts that are still connecting keep their backend, and so the time it went down.
-            backends.values().removeIf(b -> b.status == ServerStatus.GONE);
+            List<String> gone = backends.entrySet().stream()
+                    .filter(b -> b.getValue().status == ServerStatus.GONE).map(Map.Entry::getKey).toList();
+            gone.forEach(this::endConnecting);
+            backends.keySet().removeAll(gone);
             resting.keySet().retainAll(backends.keySet());
             if (shared != null) {
                 loop.execute(shared::known);
