Leave four tenths of a cold server's budget for chance: copies send independently of each other

Need: with many copies of little traffic the sum at a cold server is nearly a Poisson count, and the rule allows for 2 x root of N + 2 only. At N = 10, 0.8 N leaves 3.3 deviations, 0.7 N 3.8, 0.6 N 4.5, in each of some fifteen windows a start (docs/design.md).

--- a/src/main/java/larkworks/Logic.java
+++ b/src/main/java/larkworks/Logic.java
@@ -56,7 +56,7 @@
     /** A server's turn moves at most this many times as far for the load it reports: news is rough. */
     private static final double MOST_CROWD = 3;
     /** The part of what would push a cold server over that all copies together may send it. */
-    private static final double COLD_MARGIN = 0.8;
+    private static final double COLD_MARGIN = 0.6;
     /** A call that has less time left than this part of the calls take is hopeless. */
     private static final double QUICK = 0.3;
     /** What is usual is at most this multiple of what is quick. */
