--- a/src/test/java/larkworks/proxy/Bench.java
+++ b/src/test/java/larkworks/proxy/Bench.java
@@ -33,6 +33,8 @@
     long connectTimeoutUs = 5_000_000;
     long drainGraceUs = 1_000_000;
     boolean probes;
+    /** Proxies of the tier. */
+    int copies = 1;
     /** What the proxy's process would find in its environment. */
     Map<String, String> environment = Map.of();
     /** Further lines of the configuration, each with its comma. */
@@ -78,7 +80,7 @@
         return "{" + more + "\"name\":\"n0\",\"listen\":\"" + HOST + ":" + listen + "\",\"discovery\":\""
                 + discovery.address() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
                 + "\"memory_mb\":192,\"sockets\":" + sockets + "},\"known\":" + known + ",\"settings\":{"
-                + "\"balancers\":1,\"categories\":[" + String.format(kind, "look", "pure") + ","
+                + "\"balancers\":" + copies + ",\"categories\":[" + String.format(kind, "look", "pure") + ","
                 + String.format(kind, "pay", "token") + "," + String.format(kind, "act", "side_effect")
                 + "],\"dcs\":[\"a\"],\"discovery\":\"" + mode + "\",\"fees\":{\"probe\":0.0},"
                 + "\"limits\":{\"cancel\":true,\"connectTimeoutUs\":" + connectTimeoutUs
