Judge a minority by as many members as one probes in the window, so that large fleets have none

A member held alive counted as reached only if it was heard itself within the longest suspicion time. One hears some four members a second, so of more than about 300 fewer than half: in a healthy fleet of 1,100 all 1,100 took themselves for a minority after 45.65 s, of 400 all after 39.05 s. Now own ears are asked for half of as many as are probed in that time, and the fleet's word, who is held dead, for half of all.

--- a/src/main/java/larkworks/fleet/Membership.java
+++ b/src/main/java/larkworks/fleet/Membership.java
@@ -82,7 +82,7 @@
         health = new LocalHealth(settings.healthMost());
         prober = new Prober(self, settings, random, table, health, this::send, nowUs);
         partition = new PartitionWatch(table, self, settings.suspicionMaxUs(size),
-                2 * settings.probeIntervalUs());
+                2 * settings.probeIntervalUs(), settings.probeIntervalUs());
         broadcasts.add(new Update(self, MemberState.ALIVE, incarnation, self));
         lastTickUs = nowUs;
     }
--- a/src/main/java/larkworks/fleet/PartitionWatch.java
+++ b/src/main/java/larkworks/fleet/PartitionWatch.java
@@ -13,21 +13,29 @@
     private final int self;
     private final long windowUs;
     private final long freshUs;
+    private final long probes;
 
     /**
      * @param windowUs who is held alive counts as reached if heard within this time
      * @param freshUs who is suspected does if heard within this one
+     * @param intervalUs one other member is probed in each such period, so that in a larger fleet than the
+     *     window has periods no more than that many can be expected to be heard
      */
-    PartitionWatch(MemberTable table, int self, long windowUs, long freshUs) {
+    PartitionWatch(MemberTable table, int self, long windowUs, long freshUs, long intervalUs) {
         this.table = table;
         this.self = self;
         this.windowUs = windowUs;
         this.freshUs = freshUs;
+        this.probes = windowUs / intervalUs;
     }
 
-    /** Whether fewer than half of the members last seen alive are reached. */
+    /**
+     * Whether fewer than half of the members last seen alive are reached: by the whole fleet's word of who is
+     * dead, or by this process's own ears, of as many as it probes in the window.
+     */
     boolean minority(long nowUs) {
         int reached = 1;
+        int present = 1;
         int base = 1;
         for (int i = 0; i < table.size(); i++) {
             if (i != self) {
@@ -37,6 +45,11 @@
                     case SUSPECT -> silentUs <= freshUs ? 1 : 0;
                     case DEAD, LEFT -> 0;
                 };
+                present += switch (table.state(i)) {
+                    case ALIVE -> 1;
+                    case SUSPECT -> silentUs <= freshUs ? 1 : 0;
+                    case DEAD, LEFT -> 0;
+                };
                 base += switch (table.state(i)) {
                     case ALIVE, SUSPECT -> 1;
                     case DEAD -> table.incarnation(i) > 0 ? 1 : 0;
@@ -44,6 +57,6 @@
                 };
             }
         }
-        return reached * 2 < base;
+        return present * 2 < base || reached * 2 < Math.min(base, probes);
     }
 }
