Read a silent client once more before its request goes out: it may have left unread

Need: a timer that sends a request runs before a leaving is read that came while the loop was behind (long work in the turn), and the attempt begins later than 0.1 s after the client left.

Change: Driver.message asks whether the client is still there. Of one that was silent for 50 ms the connection is read first; a younger request was read to its end within that time. Costs one read for an attempt that goes out later than that.

--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -59,6 +59,9 @@
 
     /** Where a request's final answer goes; exactly one of the methods is called, once. */
     interface Client {
+        /** Whether the client is still there, by all that has come from it by now. */
+        boolean connected();
+
         void served(byte[] body, String type);
 
         /** The answer is a large one and comes in parts; its length is negative where it is not told. */
@@ -768,7 +771,8 @@
         long now = clock.nowUs();
         Inbound in = attempt.held.inbound;
         long leftMs = attempt.held.uploading() ? in.timeLeftUs() / 1000 : (attempt.untilUs - now) / 1000;
-        if (attempt.ended || attempt.held.over || barred(attempt.server, backend) || leftMs <= 0) {
+        if (attempt.ended || attempt.held.over || barred(attempt.server, backend) || leftMs <= 0
+                || !attempt.held.client.connected()) {
             return null;
         }
         HttpRequest message = in.upload() == null
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -80,6 +80,9 @@
     /** At its end the process waits no longer for clients to close than this. */
     private static final long LAST_LINGER_MS = 1_000;
 
+    /** What came from a client so long ago does not tell any more whether it is still there. */
+    private static final long FRESH_MS = 50;
+
     /** Reads of one connection in a turn: a request of the usual size, and the end behind it. */
     private static final int MOST_READS = 16;
 
@@ -438,6 +441,17 @@
             }
         }
 
+        /**
+         * Whether the client is there. Its leaving may lie unread while the loop is behind, and a request
+         * that has waited must not be sent on long after it.
+         */
+        private boolean connected() {
+            if (nowMs() - stirredMs > FRESH_MS) {
+                readNow();
+            }
+            return channel.isActive();
+        }
+
         /** Closes at once, but where a whole request has come or an answer goes out; tells whether so. */
         private boolean evict() {
             boolean answered = LingeringClose.unwritten(channel) == 0 || nowMs() - stirredMs > STRANGER_MS;
@@ -958,6 +972,11 @@
     /** Where the driver's answer to a request goes. */
     private record Client(Connection connection) implements Driver.Client {
 
+        @Override
+        public boolean connected() {
+            return connection.connected();
+        }
+
         @Override
         public void served(byte[] body, String type) {
             connection.answer(HttpResponseStatus.OK, body, type, -1);
--- a/src/main/java/larkworks/proxy/Warmup.java
+++ b/src/main/java/larkworks/proxy/Warmup.java
@@ -61,6 +61,11 @@
         }
     }
 
+    @Override
+    public boolean connected() {
+        return true;
+    }
+
     @Override
     public void served(byte[] body, String type) {
         loop.execute(this::next);
