--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -60,6 +60,9 @@
 
     /** Where a request's final answer goes; exactly one of the methods is called, once. */
     interface Client {
+        /** Whether the client is still there, by all that has come from it by now. */
+        boolean connected();
+
         void served(byte[] body, String type, Delivery delivery);
 
         /** The answer is a large one and comes in parts; its length is negative where it is not told. */
@@ -755,7 +758,8 @@
         long now = clock.nowUs();
         Inbound in = attempt.request.inbound;
         long leftMs = attempt.request.uploading() ? in.timeLeftUs() / 1000 : (attempt.untilUs - now) / 1000;
-        if (attempt.ended || attempt.request.answered() || barred(attempt.server, backend) || leftMs <= 0) {
+        if (attempt.ended || attempt.request.answered() || barred(attempt.server, backend) || leftMs <= 0
+                || !attempt.request.client.connected()) {
             return null;
         }
         HttpRequest message = in.upload() == null
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -80,6 +80,9 @@
     /** At its end the process waits no longer for clients to close than this. */
     private static final long LAST_LINGER_MS = 1_000;
 
+    /** What came from a client so long ago does not tell any more whether it is still there. */
+    private static final long FRESH_MS = 50;
+
     /** Reads of one connection in a turn: a request of the usual size, and the end behind it. */
     private static final int MOST_READS = 16;
 
@@ -438,6 +441,17 @@
             }
         }
 
+        /**
+         * Whether the client is there. Its leaving may lie unread while the loop is behind, and a request
+         * that has waited must not be sent on long after it.
+         */
+        private boolean connected() {
+            if (nowMs() - stirredMs > FRESH_MS) {
+                readNow();
+            }
+            return channel.isActive();
+        }
+
         /** Closes at once, but where a whole request has come or an answer goes out; tells whether so. */
         private boolean evict() {
             boolean answered = LingeringClose.unwritten(channel) == 0 || nowMs() - stirredMs > STRANGER_MS;
@@ -603,7 +617,11 @@
                 if (upload.waits()) {
                     hold(part.readableBytes());
                 }
-                upload.part(part.retain());
+                if (last) {
+                    upload.lastPart(part.retain());
+                } else {
+                    upload.part(part.retain());
+                }
             } else if (rejected == null && !isHealth()) {
                 hold(part.readableBytes());
                 body.writeBytes(part);
@@ -647,10 +665,8 @@
             receiving = false;
             patience(null);
             if (upload != null) {
-                upload.complete();
-                if (held != null) {
-                    driver.uploaded(held);
-                }
+                Upload uploaded = upload;
+                loop.execute(() -> completeUpload(uploaded));
                 return;
             }
             byte[] all = ByteBufUtil.getBytes(body);
@@ -668,6 +684,16 @@
             }
         }
 
+        /** The client may have left together with its last part: that is known now. */
+        private void completeUpload(Upload uploaded) {
+            if (upload == uploaded && channel.isActive()) {
+                upload.complete();
+                if (held != null) {
+                    driver.uploaded(held);
+                }
+            }
+        }
+
         /** The client may have left together with its request: that is known now. */
         private void dispatchReady() {
             Driver.Inbound inbound = ready;
@@ -963,6 +989,11 @@
     /** Where the driver's answer to a request goes. */
     private record Client(Connection connection) implements Driver.Client {
 
+        @Override
+        public boolean connected() {
+            return connection.connected();
+        }
+
         @Override
         public void served(byte[] body, String type, Driver.Delivery delivery) {
             connection.answer(HttpResponseStatus.OK, body, type, -1, delivery);
--- a/src/test/java/larkworks/proxy/PendingRequestsTest.java
+++ b/src/test/java/larkworks/proxy/PendingRequestsTest.java
@@ -38,6 +38,11 @@
             writing.add(delivery);
         }
 
+        @Override
+        public boolean connected() {
+            return true;
+        }
+
         @Override
         public void served(byte[] body, String type, Driver.Delivery delivery) {
             add("served", delivery);
