Count no socket for a connection that could not begin

Cause: Sockets.connect counted a socket before it began to connect; where beginning threw, nothing gave it back, and each such attempt or probe cost one descriptor of the limit.

Test: PendingRequestsTest.aRequestEndsWhereItsAttemptCannotBegin fails without the mend (one socket counted, none open).

--- a/src/main/java/larkworks/proxy/Sockets.java
+++ b/src/main/java/larkworks/proxy/Sockets.java
@@ -104,7 +104,14 @@
 
     private static Channel connect(Bootstrap bootstrap, EventLoop loop, InetSocketAddress address,
             Runnable ended, Consumer<ChannelFuture> told) {
-        ChannelFuture connecting = bootstrap.connect(address);
+        ChannelFuture connecting;
+        try {
+            connecting = bootstrap.connect(address);
+        } catch (RuntimeException e) {
+            // Nothing was opened, so nothing will tell of its closing.
+            ended.run();
+            throw e;
+        }
         if (!connecting.channel().isRegistered() && connecting.isDone()) {
             // Such a channel has no loop: it never tells of its closing, and its listeners run elsewhere.
             ended.run();
--- a/src/test/java/larkworks/proxy/PendingRequestsTest.java
+++ b/src/test/java/larkworks/proxy/PendingRequestsTest.java
@@ -75,13 +75,14 @@
     private final Answers answers = new Answers();
     private Bench bench;
     private Driver driver;
+    private Sockets sockets;
 
     @BeforeEach
     void open() throws Exception {
         bench = new Bench(1);
         Path file = Files.writeString(folder.resolve("config.json"), bench.config(0, bench.all(1)));
         Config config = Config.read(file.toString(), Map.of(), Map.of());
-        Sockets sockets = new Sockets(64, 0);
+        sockets = new Sockets(64, 0);
         BackendPool pool = new BackendPool(loop, sockets, config.connectTimeoutUs(), config.keepAliveUs());
         sockets.evictors(pool::evict);
         driver = new Driver(config, clock, loop, pool);
@@ -145,6 +146,7 @@
         });
         assertEquals(1, onLoop(answers.given::size));
         assertTrue(onLoop(driver::isIdle), "the attempt that never began holds the request");
+        assertEquals(0, onLoop(sockets::open), "a socket that was never opened is counted");
     }
 
     @Test
