Separate what the HTTP side asks of the list service from how writes are stored

For replicas: writes become commands (records, not functions over the registrar), the watches and lists a class of their own, and RegistryServer speaks to an interface. A watch is answered only by a version newer than its own, which in the single process every change is.

--- /dev/null
+++ b/src/main/java/larkworks/registry/ListCalls.java
@@ -0,0 +1,54 @@
+package larkworks.registry;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Map;
+import larkworks.rollout.Report;
+
+/**
+ * What the HTTP side asks of a list service, be it a process alone or one of several replicas. All calls are
+ * made on the service's event loop, and answered there.
+ */
+interface ListCalls {
+
+    /** The lists and watches served here. */
+    Watches lists();
+
+    /** Sets the headers that say whose list it is and how old. */
+    void describe(HttpHeaders headers);
+
+    /**
+     * Checks that there is a list to be read.
+     *
+     * @throws Refusal 503 where none was ever begun
+     */
+    void checkReadable() throws Refusal;
+
+    /** Whether no version newer than the one held here can exist. */
+    boolean isNewest();
+
+    /**
+     * Makes a write; answered with the list's version once it is in force for good.
+     *
+     * @throws Refusal where it is known at once that it can't be granted
+     */
+    void write(Command command, Answer<Long> answer) throws Refusal;
+
+    /**
+     * Takes a heartbeat; answered with the list's version.
+     *
+     * @throws Refusal where it is known at once that it can't be granted
+     */
+    void heartbeat(String name, Answer<Long> answer) throws Refusal;
+
+    /** Lets the servers that were taken out with their stage of admission wait anew. */
+    void resumeAdmission(Answer<Long> answer);
+
+    /** Takes a proxy's report on a rollout; answered with what it should run, as JSON. */
+    void report(String proxy, Report report, Answer<byte[]> answer);
+
+    /** Answered with the rollout as it stands and what the proxies report, as JSON. */
+    void rollout(Answer<byte[]> answer);
+
+    /** Figures for the operator. */
+    Map<String, Object> figures();
+}
--- a/src/main/java/larkworks/registry/ListService.java
+++ b/src/main/java/larkworks/registry/ListService.java
@@ -1,16 +1,12 @@
 package larkworks.registry;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import larkworks.rollout.Report;
@@ -23,37 +19,13 @@
  * The service on its event loop: grants writes, has them stored, publishes what is on disk to the watches
  * that wait, and ends leases. Everything here runs on that loop.
  */
-final class ListService implements Store.Owner {
+final class ListService implements ListCalls, Store.Owner {
 
     private static final Logger LOG = LoggerFactory.getLogger("registry");
     /** How often leases are looked at, and how soon an end that could not be stored is tried again. */
     private static final long LEASE_LOOK_MS = 100;
     private static final long LEASE_AGAIN_MS = 1_000;
 
-    /** A call held until the list changes or its time has passed. */
-    final class Watch {
-        private final long from;
-        private final Consumer<ByteBuf> answer;
-        private ScheduledFuture<?> end;
-
-        private Watch(long from, Consumer<ByteBuf> answer) {
-            this.from = from;
-            this.answer = answer;
-        }
-
-        /** The caller is gone. */
-        void cancel() {
-            if (watches.remove(this)) {
-                end.cancel(false);
-            }
-        }
-
-        private void finish(ByteBuf body) {
-            end.cancel(false);
-            answer.accept(body);
-        }
-    }
-
     private final EventLoop loop;
     private final Store store;
     private final Catalog catalog;
@@ -61,7 +33,7 @@
     private final Leases leases = new Leases();
     private final Admission admission;
     private final Rollouts rollouts = new Rollouts(System.currentTimeMillis());
-    private Set<Watch> watches = new LinkedHashSet<>();
+    private final Watches watches;
     private ScheduledFuture<?> looking;
     private long era;
     /** Steps of admission on their way to disk: the next are judged by what these make of the list. */
@@ -73,6 +45,7 @@
         this.store = store;
         catalog = store.catalog();
         registrar = new Registrar(catalog, admission);
+        watches = new Watches(loop, () -> catalog, admission);
     }
 
     /** Begins; every lease has its full time, as heartbeats could not come while the service was down. */
@@ -90,79 +63,65 @@
     /** Ends; watches are answered with what is known, as if their time had passed. */
     void stop() {
         looking.cancel(false);
-        Set<Watch> held = watches;
-        watches = new LinkedHashSet<>();
-        held.forEach(watch -> watch.finish(since(watch.from)));
+        watches.stop();
     }
 
     private static long nowMs() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
-    /** A write that is granted; see {@link Registrar}. */
-    interface Grant {
-        Change grant(Registrar registrar) throws Refusal;
-    }
-
-    /**
-     * Makes a write; {@code done} is called once all it rests on is on disk (null), or could not be written.
-     *
-     * @throws Refusal where it is not granted
-     */
-    void write(Grant call, Consumer<IOException> done) throws Refusal {
-        Change change = call.grant(registrar);
-        store.submit(new Store.Ticket(change, done, era));
+    @Override
+    public Watches lists() {
+        return watches;
     }
 
-    /** Takes a heartbeat; the usual one needs no disk. */
-    void heartbeat(String name, Consumer<IOException> done) throws Refusal {
-        Change change = registrar.heartbeat(name);
-        Instance held = catalog.get(name);
-        if (held != null) {
-            leases.renew(held, nowMs());
-        }
-        if (change == null) {
-            done.accept(null);
-        } else {
-            store.submit(new Store.Ticket(change, done, era));
-        }
+    @Override
+    public void describe(HttpHeaders headers) {
+        headers.set(RegistryServer.EPOCH, store.identity());
     }
 
-    long index() {
-        return catalog.index();
+    @Override
+    public void checkReadable() {
+        // What was read at the start is the list.
     }
 
-    String epoch() {
-        return store.identity();
+    @Override
+    public boolean isNewest() {
+        return true;
     }
 
-    /** The whole list. */
-    ByteBuf whole() {
-        return Unpooled.wrappedBuffer(Words.listing(catalog.index(), true, catalog.live().stream()
-                .filter(Admission::listed).map(admission::shown).toList()));
+    @Override
+    public void write(Command command, Answer<Long> answer) throws Refusal {
+        List<Change> changes = command.grant(registrar, System.currentTimeMillis());
+        // The last one's fate is the fate of all before it: what is built on a failed change fails too.
+        for (int i = 0; i + 1 < changes.size(); i++) {
+            store.submit(new Store.Ticket(changes.get(i), failure -> { }, era));
+        }
+        Change last = changes.isEmpty() ? null : changes.get(changes.size() - 1);
+        store.submit(new Store.Ticket(last, done(answer), era));
     }
 
-    /** What changed since that version, or the whole list where that is no longer known. */
-    ByteBuf since(long from) {
-        return catalog.knows(from)
-                ? Unpooled.wrappedBuffer(Words.listing(catalog.index(), false,
-                        catalog.since(from).stream().map(admission::shown).toList()))
-                : whole();
+    private Consumer<IOException> done(Answer<Long> answer) {
+        return failure -> answer.ended(catalog.index(), failure);
     }
 
-    /** Holds a call until there is something newer than {@code from}, for {@code waitMs} at most. */
-    Watch watch(long from, long waitMs, Consumer<ByteBuf> answer) {
-        Watch watch = new Watch(from, answer);
-        watches.add(watch);
-        watch.end = loop.schedule(() -> {
-            watches.remove(watch);
-            watch.answer.accept(since(from));
-        }, waitMs, TimeUnit.MILLISECONDS);
-        return watch;
+    /** The usual one needs no disk. */
+    @Override
+    public void heartbeat(String name, Answer<Long> answer) throws Refusal {
+        Change change = registrar.heartbeat(name);
+        Instance held = catalog.get(name);
+        if (held != null) {
+            leases.renew(held, nowMs());
+        }
+        if (change == null) {
+            answer.ended(catalog.index(), null);
+        } else {
+            store.submit(new Store.Ticket(change, done(answer), era));
+        }
     }
 
-    /** Figures for the operator. */
-    Map<String, Object> figures() {
+    @Override
+    public Map<String, Object> figures() {
         List<Instance> live = catalog.live();
         Map<String, Object> figures = new LinkedHashMap<>();
         figures.put("index", catalog.index());
@@ -195,7 +154,7 @@
             }
         }
         if (changed) {
-            publish();
+            watches.publish();
         }
         tickets.forEach(ticket -> ticket.answer().accept(null));
         if (store.snapshotDue()) {
@@ -203,18 +162,6 @@
         }
     }
 
-    /** All watches wait for something newer than they have, so each change answers all of them. */
-    private void publish() {
-        Set<Watch> held = watches;
-        watches = new LinkedHashSet<>();
-        Map<Long, ByteBuf> bodies = new HashMap<>();
-        for (Watch watch : held) {
-            ByteBuf body = bodies.computeIfAbsent(watch.from, this::since);
-            watch.finish(body.retainedDuplicate());
-        }
-        bodies.values().forEach(ByteBuf::release);
-    }
-
     @Override
     public void failed(List<Store.Ticket> tickets, IOException why, long now) {
         if (now > era) {
@@ -226,18 +173,20 @@
         tickets.forEach(ticket -> ticket.answer().accept(why));
     }
 
-    /** Takes a proxy's report, and says what it should run: only what is on disk. */
-    Rollouts.Target reported(String proxy, Report report) {
-        rollouts.report(proxy, report, System.currentTimeMillis());
-        return rollouts.target(catalog.rollout(), proxy, System.currentTimeMillis());
+    /** The proxy is told only what is on disk. */
+    @Override
+    public void report(String proxy, Report report, Answer<byte[]> answer) {
+        long now = System.currentTimeMillis();
+        rollouts.report(proxy, report, now);
+        answer.ended(Words.bytes(rollouts.target(catalog.rollout(), proxy, now)), null);
     }
 
-    /** The rollout as it stands on disk, and what the proxies say. */
-    Map<String, Object> rollout() {
+    @Override
+    public void rollout(Answer<byte[]> answer) {
         Map<String, Object> rollout = new LinkedHashMap<>();
         rollout.put("state", catalog.rollout());
         rollout.put("reports", rollouts.reports());
-        return rollout;
+        answer.ended(Words.bytes(rollout), null);
     }
 
     private void admit() {
@@ -248,10 +197,10 @@
                 System.currentTimeMillis()));
     }
 
-    /** Lets the servers that were taken out wait anew; {@code done} as with {@link #write}. */
-    void resumeAdmission(Consumer<IOException> done) {
+    @Override
+    public void resumeAdmission(Answer<Long> answer) {
         ramp(Admission.resumed(catalog.live()));
-        store.submit(new Store.Ticket(null, done, era));
+        store.submit(new Store.Ticket(null, done(answer), era));
     }
 
     private void ramp(List<Instance> changes) {
--- a/src/main/java/larkworks/registry/RegistryServer.java
+++ b/src/main/java/larkworks/registry/RegistryServer.java
@@ -30,7 +30,6 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.List;
@@ -38,11 +37,8 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.function.Consumer;
-import larkworks.rollout.Conflict;
 import larkworks.rollout.Plan;
 import larkworks.rollout.Report;
-import larkworks.rollout.RolloutState;
-import larkworks.rollout.Rollouts;
 
 /**
  * The service's HTTP/1.1 side. Reads are PROTOCOL's "Discovery": {@code GET /registry/instances}, with
@@ -72,8 +68,6 @@
     private static final String STATUS = "/registry/v1/status";
     private static final String RESUME = "/registry/v1/admission/resume";
     private static final String ROLLOUT = "/registry/v1/rollout";
-    /** A rollout's state fits one record of the log, with its index. */
-    private static final int MOST_STATE = Frames.MOST - 256;
     private static final String REPORTS = "/reports/";
     private static final Set<String> COMMANDS = Set.of("/pause", "/resume", "/rollback");
     /** PROTOCOL: a watch waits 60 s at most. */
@@ -86,11 +80,11 @@
     private static final int BACKLOG = 1_024;
 
     private final EventLoop loop;
-    private final ListService service;
+    private final ListCalls service;
     private final ChannelGroup open;
     private Channel listener;
 
-    RegistryServer(EventLoop loop, ListService service) {
+    RegistryServer(EventLoop loop, ListCalls service) {
         this.loop = loop;
         this.service = service;
         open = new DefaultChannelGroup(loop);
@@ -123,7 +117,7 @@
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
 
         private final Queue<FullHttpRequest> ahead = new ArrayDeque<>();
-        private ListService.Watch watch;
+        private Watches.Watch watch;
         private boolean answering;
 
         @Override
@@ -177,34 +171,46 @@
                 throws Refusal {
             long from = number(query, "index", -1);
             long wait = Math.min(number(query, "wait", 0), MOST_WAIT_MS);
+            service.checkReadable();
+            Watches lists = service.lists();
             if (from < 0) {
-                answer(context, 200, service.whole(), keep);
-            } else if (from > service.index()) {
-                throw new Refusal(400, "index " + from + " is newer than " + service.index());
-            } else if (from < service.index() || wait == 0) {
-                answer(context, 200, service.since(from), keep);
+                answer(context, 200, lists.whole(), keep);
+            } else if (from > lists.index() && service.isNewest()) {
+                throw new Refusal(400, "index " + from + " is newer than " + lists.index());
+            } else if (from < lists.index() || wait == 0) {
+                tell(context, from, from > lists.index() ? null : lists.since(from), keep);
             } else {
-                watch = service.watch(from, wait, body -> {
+                watch = lists.watch(from, wait, body -> {
                     watch = null;
-                    answer(context, 200, body, keep);
+                    tell(context, from, body, keep);
                 });
             }
         }
 
+        /** Answers with changes, or says that the list here is older than what the caller has. */
+        private void tell(ChannelHandlerContext context, long from, ByteBuf body, boolean keep) {
+            if (body == null) {
+                answer(context, 503, error("this replica is at index " + service.lists().index()
+                        + ", behind " + from), keep);
+            } else {
+                answer(context, 200, body, keep);
+            }
+        }
+
         private void write(ChannelHandlerContext context, FullHttpRequest call, String[] path, boolean keep)
                 throws Refusal {
             String name = path[0];
             byte[] body = ByteBufUtil.getBytes(call.content());
             if (path.length == 1 && call.method().equals(HttpMethod.DELETE)) {
-                service.write(r -> r.setStatus(name, Status.TERMINATED), done(context, keep));
+                service.write(new Command.SetStatus(name, Status.TERMINATED), done(context, keep));
             } else if (path.length == 1) {
                 want(call, HttpMethod.PUT);
                 Registration asked = Words.body(body, Registration.class);
-                service.write(r -> r.register(name, asked, System.currentTimeMillis()), done(context, keep));
+                service.write(new Command.Register(name, asked), done(context, keep));
             } else if (path.length == 2 && path[1].equals("status")) {
                 want(call, HttpMethod.PUT);
                 StatusCall asked = Words.body(body, StatusCall.class);
-                service.write(r -> r.setStatus(name, asked.status()), done(context, keep));
+                service.write(new Command.SetStatus(name, asked.status()), done(context, keep));
             } else if (path.length == 2 && path[1].equals("heartbeat")) {
                 want(call, HttpMethod.PUT);
                 service.heartbeat(name, done(context, keep));
@@ -216,46 +222,50 @@
         private void rollout(ChannelHandlerContext context, FullHttpRequest call, String path, boolean keep)
                 throws Refusal {
             if (path.isEmpty() && call.method().equals(HttpMethod.GET)) {
-                answer(context, 200, Unpooled.wrappedBuffer(Words.bytes(service.rollout())), keep);
+                service.rollout(json(context, keep));
                 return;
             }
             want(call, HttpMethod.PUT);
             byte[] body = ByteBufUtil.getBytes(call.content());
-            long now = System.currentTimeMillis();
             if (path.startsWith(REPORTS) && path.length() > REPORTS.length()) {
                 Report report = checked(Words.body(body, Report.class), Report::check);
-                answer(context, 200, Unpooled.wrappedBuffer(Words.bytes(
-                        service.reported(path.substring(REPORTS.length()), report))), keep);
+                service.report(path.substring(REPORTS.length()), report, json(context, keep));
             } else if (path.isEmpty()) {
                 Plan plan = checked(Words.body(body, Plan.class), Plan::check);
-                service.write(r -> step(r, () -> Rollouts.publish(r.rollout(), plan, r.nextIndex(), now)),
-                        done(context, keep));
+                service.write(new Command.Publish(plan), done(context, keep));
             } else if (COMMANDS.contains(path)) {
-                service.write(r -> step(r, () -> Rollouts.command(r.rollout(), path.substring(1), now)),
-                        done(context, keep));
+                service.write(new Command.Steer(path.substring(1)), done(context, keep));
             } else {
                 throw new Refusal(404, "no such path");
             }
         }
 
-        private Consumer<IOException> done(ChannelHandlerContext context, boolean keep) {
-            return failure -> {
-                if (failure == null) {
-                    answer(context, 200, Unpooled.wrappedBuffer(
-                            Words.bytes(Map.of("index", service.index()))), keep);
-                } else {
-                    answer(context, failure instanceof Wal.Broken ? 503 : 507,
-                            error("not stored: " + failure.getMessage()), keep);
-                }
-            };
+        private Answer<Long> done(ChannelHandlerContext context, boolean keep) {
+            return (index, failure) -> answer(context, failure,
+                    failure == null ? Words.bytes(Map.of("index", index)) : null, keep);
+        }
+
+        private Answer<byte[]> json(ChannelHandlerContext context, boolean keep) {
+            return (body, failure) -> answer(context, failure, body, keep);
+        }
+
+        private void answer(ChannelHandlerContext context, Exception failure, byte[] body, boolean keep) {
+            if (failure == null) {
+                answer(context, 200, Unpooled.wrappedBuffer(body), keep);
+            } else if (failure instanceof Refusal refusal) {
+                answer(context, refusal.status(), error(refusal.getMessage()), keep);
+            } else {
+                answer(context, failure instanceof Wal.Broken ? 503 : 507,
+                        error("not stored: " + failure.getMessage()), keep);
+            }
         }
 
         private void answer(ChannelHandlerContext context, int status, ByteBuf body, boolean keep) {
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(status), body);
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-                    .setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
-                    .set(EPOCH, service.epoch());
+                    .setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+            service.describe(response.headers());
             if (!keep) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
@@ -304,24 +314,6 @@
         }
     }
 
-    /** A step of the rollout that an operator asks for. */
-    private interface Step {
-        RolloutState next() throws Conflict;
-    }
-
-    private static Change step(Registrar registrar, Step step) throws Refusal {
-        try {
-            RolloutState next = step.next();
-            if (Words.bytes(next).length > MOST_STATE) {
-                throw new Refusal(413, "the plan and what came before are larger than " + MOST_STATE
-                        + " bytes");
-            }
-            return registrar.rollOut(next);
-        } catch (Conflict e) {
-            throw new Refusal(409, e.getMessage());
-        }
-    }
-
     private static <T> T checked(T body, Consumer<T> check) throws Refusal {
         try {
             check.accept(body);
