--- a/src/main/java/larkworks/registry/Admission.java
+++ b/src/main/java/larkworks/registry/Admission.java
@@ -34,7 +34,7 @@
         }
     }
 
-    private final Settings settings;
+    private Settings settings;
     /** Since when an instance is at its step. */
     private final Map<String, Long> sinceMs = new HashMap<>();
 
@@ -42,6 +42,16 @@
         this.settings = settings;
     }
 
+    /** How servers are admitted now. */
+    Settings settings() {
+        return settings;
+    }
+
+    /** Admits by other settings from now on. */
+    void use(Settings others) {
+        settings = others;
+    }
+
     /** Whether servers are admitted in stages. */
     boolean on() {
         return settings.on();
--- a/src/main/java/larkworks/registry/Catalog.java
+++ b/src/main/java/larkworks/registry/Catalog.java
@@ -17,7 +17,7 @@
  */
 public final class Catalog {
 
-    private final int maxTombstones;
+    private int maxTombstones;
     private final Map<String, Change> byName = new HashMap<>();
     private final Map<String, String> holders = new HashMap<>();
     private final TreeMap<Long, Instance> byIndex = new TreeMap<>();
@@ -32,6 +32,16 @@
         this.maxTombstones = maxTombstones;
     }
 
+    /** Remembers so many removed instances from the next change on. */
+    void limitTombstones(int most) {
+        maxTombstones = most;
+    }
+
+    /** How many removed instances are remembered. */
+    int maxTombstones() {
+        return maxTombstones;
+    }
+
     /** Everything held, to be written down whole. */
     record Image(long index, long compacted, List<Change> changes, RolloutState rollout) { }
 
--- a/src/main/java/larkworks/registry/Command.java
+++ b/src/main/java/larkworks/registry/Command.java
@@ -15,8 +15,15 @@
     @JsonSubTypes.Type(value = Command.SetStatus.class, name = "set_status"),
     @JsonSubTypes.Type(value = Command.Publish.class, name = "publish"),
     @JsonSubTypes.Type(value = Command.Steer.class, name = "steer"),
+    @JsonSubTypes.Type(value = Command.Heartbeat.class, name = "heartbeat"),
+    @JsonSubTypes.Type(value = Command.ResumeAdmission.class, name = "resume_admission"),
+    @JsonSubTypes.Type(value = Decision.Lead.class, name = "lead"),
+    @JsonSubTypes.Type(value = Decision.Expire.class, name = "expire"),
+    @JsonSubTypes.Type(value = Decision.Ramp.class, name = "ramp"),
+    @JsonSubTypes.Type(value = Decision.StepRollout.class, name = "step_rollout"),
 })
-sealed interface Command {
+sealed interface Command permits Command.Register, Command.SetStatus, Command.Heartbeat,
+        Command.ResumeAdmission, Command.Publish, Command.Steer, Decision {
 
     /** A rollout's state fits one record of the log, with its index. */
     int MOST_STATE = Frames.MOST - 256;
@@ -46,6 +53,22 @@
         }
     }
 
+    /** A heartbeat of an instance whose lease has ended: it is in service again. */
+    record Heartbeat(String name) implements Command {
+        @Override
+        public List<Change> grant(Registrar registrar, long nowMs) throws Refusal {
+            return listed(registrar.heartbeat(name));
+        }
+    }
+
+    /** Lets the servers that were taken out with their stage of admission wait anew. */
+    record ResumeAdmission() implements Command {
+        @Override
+        public List<Change> grant(Registrar registrar, long nowMs) {
+            return registrar.resumeAdmission();
+        }
+    }
+
     /** Publishes a rollout. */
     record Publish(Plan plan) implements Command {
         @Override
--- a/src/main/java/larkworks/registry/Registrar.java
+++ b/src/main/java/larkworks/registry/Registrar.java
@@ -1,7 +1,9 @@
 package larkworks.registry;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import larkworks.rollout.RolloutState;
 
 /**
@@ -83,17 +85,38 @@
      * @throws Refusal 404 for an unknown or terminated instance, 409 for one without a lease
      */
     Change heartbeat(String name) throws Refusal {
+        Instance held = leased(name);
+        return held.expired() ? grant(held.with(Status.IN_SERVICE, false)) : null;
+    }
+
+    /**
+     * The instance whose lease a heartbeat renews.
+     *
+     * @throws Refusal 404 for an unknown or terminated instance, 409 for one without a lease
+     */
+    Instance leased(String name) throws Refusal {
         Instance held = present(name);
         if (held.ttlMs() == 0) {
             throw new Refusal(409, "'" + name + "' was registered without ttl_ms");
         }
-        return held.expired() ? grant(held.with(Status.IN_SERVICE, false)) : null;
+        return held;
+    }
+
+    /** Lets all that were taken out with their stage of admission wait anew. */
+    List<Change> resumeAdmission() {
+        return Admission.resumed(catalog.live()).stream()
+                .map(next -> ramp(catalog.get(next.name()), next.ramp())).filter(Objects::nonNull).toList();
     }
 
     /** Moves an instance's admission on; null where it has changed otherwise since. */
     Change ramp(Instance before, int step) {
-        Instance held = held(before.name());
-        return held == null || held.gone() || held.ramp() != before.ramp() ? null : grant(held.ramped(step));
+        return ramp(before.name(), before.ramp(), step);
+    }
+
+    /** Moves the admission of an instance at step {@code from} on; null where it is not there any more. */
+    Change ramp(String name, int from, int step) {
+        Instance held = held(name);
+        return held == null || held.gone() || held.ramp() != from ? null : grant(held.ramped(step));
     }
 
     /** The lease of an instance ended: it goes terminating, or terminated where it is that already. */
--- a/src/main/java/larkworks/registry/SnapshotFile.java
+++ b/src/main/java/larkworks/registry/SnapshotFile.java
@@ -28,11 +28,37 @@
 
     /** Puts this image in place of the one before, whole or not at all. */
     void write(Catalog.Image image) throws IOException {
+        Folders.replace(file, Frames.encode(records(image)));
+    }
+
+    /** The image as records: the head, then the changes. */
+    static List<byte[]> records(Catalog.Image image) {
         List<byte[]> records = new ArrayList<>(image.changes().size() + 1);
         records.add(Words.bytes(new Head(FORMAT, image.index(), image.compacted(),
                 image.changes().size(), image.rollout())));
         image.changes().forEach(change -> records.add(Words.bytes(change)));
-        Folders.replace(file, Frames.encode(records));
+        return records;
+    }
+
+    /**
+     * Reads an image from its records.
+     *
+     * @throws IOException where they are not whole
+     */
+    static Catalog.Image image(List<byte[]> records) throws IOException {
+        if (records.isEmpty()) {
+            throw new IOException("no head");
+        }
+        Head head = Words.record(records.get(0), Head.class);
+        if (head.format() != FORMAT || head.changes() != records.size() - 1) {
+            throw new IOException("format " + head.format() + " with " + (records.size() - 1) + " of "
+                    + head.changes() + " changes");
+        }
+        List<Change> changes = new ArrayList<>(head.changes());
+        for (byte[] record : records.subList(1, records.size())) {
+            changes.add(Words.record(record, Change.class));
+        }
+        return new Catalog.Image(head.index(), head.compacted(), changes, head.rollout());
     }
 
     /**
@@ -47,19 +73,7 @@
         List<byte[]> records = new ArrayList<>();
         try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ)) {
             Frames.read(channel, (record, offset) -> records.add(record));
-            if (records.isEmpty()) {
-                throw new IOException("no head");
-            }
-            Head head = Words.record(records.get(0), Head.class);
-            if (head.format() != FORMAT || head.changes() != records.size() - 1) {
-                throw new IOException("format " + head.format() + " with " + (records.size() - 1) + " of "
-                        + head.changes() + " changes");
-            }
-            List<Change> changes = new ArrayList<>(head.changes());
-            for (byte[] record : records.subList(1, records.size())) {
-                changes.add(Words.record(record, Change.class));
-            }
-            return new Catalog.Image(head.index(), head.compacted(), changes, head.rollout());
+            return image(records);
         } catch (IOException e) {
             throw new IOException(file + ": " + e.getMessage(), e);
         }
