--- a/src/main/java/larkworks/cli/RegistryCommand.java
+++ b/src/main/java/larkworks/cli/RegistryCommand.java
@@ -5,9 +5,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import larkworks.platform.ConfigFile;
+import larkworks.platform.ConfigFile.Unusable;
 import larkworks.platform.LogSettings;
 import larkworks.platform.Logs;
+import larkworks.platform.Section;
 import larkworks.registry.Registry;
+import larkworks.registry.ReplicaSettings;
+import larkworks.registry.ReplicatedRegistry;
+import org.slf4j.event.Level;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
@@ -29,6 +35,10 @@
             description = "The data directory, made where there is none.")
     private Path data;
 
+    @Option(names = "--replicas", paramLabel = "FILE", description = "TOML with a replicas table: "
+            + "this is one of several replicas. Needs the jars of target/lib on the class path.")
+    private Path replicas;
+
     @Option(names = "--snapshot-bytes", paramLabel = "N", defaultValue = "4194304",
             description = "Length of the log at which a snapshot is written (${DEFAULT-VALUE}).")
     private long snapshotBytes;
@@ -49,6 +59,12 @@
             description = "How long each of these steps lasts (${DEFAULT-VALUE}).")
     private long rampMs;
 
+    /** The engine says at level info what each connection and election does. */
+    private static final LogSettings LOGS = new LogSettings(Level.INFO,
+            Map.of("org.apache.ratis", Level.ERROR));
+    /** The consensus engine; its jars are not part of ours. */
+    private static final String ENGINE = "org.apache.ratis.server.RaftServer";
+
     @Override
     public Integer call() throws Exception {
         want(snapshotBytes >= 1, "--snapshot-bytes: 1 or more is wanted");
@@ -57,13 +73,30 @@
         want(rampSteps.stream().allMatch(s -> s > 0 && s <= 1),
                 "--ramp-steps: above 0, 1 at most, is wanted");
         want(rampMs >= 0, "--ramp-ms: 0 or more is wanted");
-        Logs.start(LogSettings.defaults(), Map.of());
-        Registry registry = new Registry(new Registry.Settings(listen, data, snapshotBytes, maxTombstones,
-                maxNewShare, rampSteps, rampMs));
-        Shutdown.hook(registry);
+        Registry.Settings settings = new Registry.Settings(listen, data, snapshotBytes, maxTombstones,
+                maxNewShare, rampSteps, rampMs);
+        ReplicaSettings replica = replicas == null ? null : replica(replicas);
+        Logs.start(LOGS, Map.of());
+        Shutdown.hook(replica == null ? new Registry(settings) : new ReplicatedRegistry(settings, replica));
         return 0;
     }
 
+    private static ReplicaSettings replica(Path file) throws Unusable {
+        Section top = Section.top(ConfigFile.read(file));
+        ReplicaSettings replica = ReplicaSettings.of(top.section("replicas"));
+        top.refuseUnknown();
+        if (!top.faults().isEmpty()) {
+            throw new Unusable(file.toString(), top.faults());
+        }
+        try {
+            Class.forName(ENGINE);
+        } catch (ClassNotFoundException e) {
+            throw new Unusable(file.toString(), List.of("replicas need the jars of target/lib on the class "
+                    + "path: java -cp 'target/larkworks.jar:target/lib/*' larkworks.cli.Larkworks registry"));
+        }
+        return replica;
+    }
+
     private void want(boolean holds, String what) {
         if (!holds) {
             throw new ParameterException(spec.commandLine(), what);
--- a/src/main/java/larkworks/registry/ListCalls.java
+++ b/src/main/java/larkworks/registry/ListCalls.java
@@ -23,8 +23,13 @@
      */
     void checkReadable() throws Refusal;
 
-    /** Whether no version newer than the one held here can exist. */
-    boolean isNewest();
+    /**
+     * What a caller is told that has a newer version than the one held here.
+     *
+     * @param waited whether the list here had some time to come to that version
+     * @return null where it may come to it still
+     */
+    Refusal ahead(long from, boolean waited);
 
     /**
      * Makes a write; answered with the list's version once it is in force for good.
@@ -41,13 +46,13 @@
     void heartbeat(String name, Answer<Long> answer) throws Refusal;
 
     /** Lets the servers that were taken out with their stage of admission wait anew. */
-    void resumeAdmission(Answer<Long> answer);
+    void resumeAdmission(Answer<Long> answer) throws Refusal;
 
     /** Takes a proxy's report on a rollout; answered with what it should run, as JSON. */
-    void report(String proxy, Report report, Answer<byte[]> answer);
+    void report(String proxy, Report report, Answer<byte[]> answer) throws Refusal;
 
     /** Answered with the rollout as it stands and what the proxies report, as JSON. */
-    void rollout(Answer<byte[]> answer);
+    void rollout(Answer<byte[]> answer) throws Refusal;
 
     /** Figures for the operator. */
     Map<String, Object> figures();
--- a/src/main/java/larkworks/registry/ListService.java
+++ b/src/main/java/larkworks/registry/ListService.java
@@ -86,8 +86,8 @@
     }
 
     @Override
-    public boolean isNewest() {
-        return true;
+    public Refusal ahead(long from, boolean waited) {
+        return new Refusal(400, "index " + from + " is newer than " + catalog.index());
     }
 
     @Override
--- a/src/main/java/larkworks/registry/RegistryServer.java
+++ b/src/main/java/larkworks/registry/RegistryServer.java
@@ -72,6 +72,8 @@
     private static final Set<String> COMMANDS = Set.of("/pause", "/resume", "/rollback");
     /** PROTOCOL: a watch waits 60 s at most. */
     private static final long MOST_WAIT_MS = 60_000;
+    /** A caller that has a newer list than is held here waits so long for it to come, at least. */
+    private static final long LEAST_CATCH_UP_MS = 500;
     private static final int MOST_BODY = 48 << 10;
     /** Calls read ahead on one connection; who sends more has no use for the answers. */
     private static final int MOST_AHEAD = 16;
@@ -173,30 +175,28 @@
             long wait = Math.min(number(query, "wait", 0), MOST_WAIT_MS);
             service.checkReadable();
             Watches lists = service.lists();
+            boolean ahead = from > lists.index();
+            Refusal refusal = ahead ? service.ahead(from, false) : null;
+            if (refusal != null) {
+                throw refusal;
+            }
             if (from < 0) {
                 answer(context, 200, lists.whole(), keep);
-            } else if (from > lists.index() && service.isNewest()) {
-                throw new Refusal(400, "index " + from + " is newer than " + lists.index());
-            } else if (from < lists.index() || wait == 0) {
-                tell(context, from, from > lists.index() ? null : lists.since(from), keep);
+            } else if (from < lists.index() || wait == 0 && !ahead) {
+                answer(context, 200, lists.since(from), keep);
             } else {
-                watch = lists.watch(from, wait, body -> {
+                watch = lists.watch(from, ahead ? Math.max(wait, LEAST_CATCH_UP_MS) : wait, body -> {
                     watch = null;
-                    tell(context, from, body, keep);
+                    if (body == null) {
+                        Refusal behind = service.ahead(from, true);
+                        answer(context, behind.status(), error(behind.getMessage()), keep);
+                    } else {
+                        answer(context, 200, body, keep);
+                    }
                 });
             }
         }
 
-        /** Answers with changes, or says that the list here is older than what the caller has. */
-        private void tell(ChannelHandlerContext context, long from, ByteBuf body, boolean keep) {
-            if (body == null) {
-                answer(context, 503, error("this replica is at index " + service.lists().index()
-                        + ", behind " + from), keep);
-            } else {
-                answer(context, 200, body, keep);
-            }
-        }
-
         private void write(ChannelHandlerContext context, FullHttpRequest call, String[] path, boolean keep)
                 throws Refusal {
             String name = path[0];
--- a/src/main/java/larkworks/registry/ReplicaSnapshot.java
+++ b/src/main/java/larkworks/registry/ReplicaSnapshot.java
@@ -9,7 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** A replica's state machine in one file: a head with what is not in the catalog, then the catalog's records. */
+/** A replica's state machine in one file: a head with what is not in the catalog, then its records. */
 final class ReplicaSnapshot {
 
     @JsonInclude(JsonInclude.Include.NON_NULL)
--- a/src/main/java/larkworks/registry/Words.java
+++ b/src/main/java/larkworks/registry/Words.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
@@ -42,6 +43,16 @@
         return MAPPER.readValue(json, kind);
     }
 
+    /** A record as a tree, to stand in another. */
+    static JsonNode tree(Object record) {
+        return MAPPER.valueToTree(record);
+    }
+
+    /** A record that came as a tree. */
+    static <T> T record(JsonNode tree, Class<T> kind) throws IOException {
+        return MAPPER.treeToValue(tree, kind);
+    }
+
     /**
      * Reads the body of a call.
      *
--- a/src/test/java/larkworks/TcpRelay.java
+++ b/src/test/java/larkworks/TcpRelay.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 
 /**
  * A fault relay for TCP, for tests: what comes to {@link #address()} goes to a target, as the rules allow.
@@ -20,6 +21,9 @@
     /** Both ends of each connection; those in {@code silent} stay open, and nothing passes on them. */
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final Set<Socket> silent = ConcurrentHashMap.newKeySet();
+    /** The ends towards whoever connected. */
+    private final Set<Socket> nears = ConcurrentHashMap.newKeySet();
+    private volatile Predicate<Socket> cut = near -> false;
     private volatile InetSocketAddress target;
     private volatile boolean refusing;
     /** Connections turned away. */
@@ -53,6 +57,23 @@
         silent.addAll(sockets);
     }
 
+    /**
+     * From now on connections of whom the condition holds, open or new, stay open and carry nothing: a cut
+     * in the network. Those of whom it does not hold any more are ended, as a healed network would in time.
+     *
+     * @param who asked of the end towards whoever connected
+     */
+    public void cut(Predicate<Socket> who) throws IOException {
+        cut = who;
+        for (Socket near : nears) {
+            if (who.test(near)) {
+                silent.add(near);
+            } else if (silent.contains(near)) {
+                near.close();
+            }
+        }
+    }
+
     private interface Job {
         void run() throws IOException;
     }
@@ -80,30 +101,36 @@
             Socket far = new Socket();
             sockets.add(near);
             sockets.add(far);
+            nears.add(near);
+            if (cut.test(near)) {
+                silent.add(near);
+            }
             run(() -> {
                 try (near; far) {
                     far.connect(target, 2_000);
-                    run(() -> pass(far, near));
-                    pass(near, far);
+                    run(() -> pass(far, near, near));
+                    pass(near, far, near);
                 } finally {
                     sockets.remove(near);
                     sockets.remove(far);
+                    nears.remove(near);
+                    silent.remove(near);
                 }
             });
         }
     }
 
-    private void pass(Socket from, Socket to) throws IOException {
+    private void pass(Socket from, Socket to, Socket near) throws IOException {
         byte[] buffer = new byte[8_192];
         InputStream in = from.getInputStream();
         OutputStream out = to.getOutputStream();
         for (int read = in.read(buffer); read >= 0; read = in.read(buffer)) {
-            if (!silent.contains(from)) {
+            if (!silent.contains(from) && !silent.contains(near)) {
                 out.write(buffer, 0, read);
                 out.flush();
             }
         }
-        if (!silent.contains(from)) {
+        if (!silent.contains(from) && !silent.contains(near)) {
             to.close();
         }
     }
--- a/src/test/java/larkworks/registry/Caller.java
+++ b/src/test/java/larkworks/registry/Caller.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
+import java.net.http.HttpHeaders;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
@@ -14,8 +15,18 @@
 /** A caller of the list service, for tests. */
 public final class Caller {
 
-    /** An answer: its status and its body. */
-    public record Answer(int status, Map<String, Object> body) {
+    /** An answer: its status, its headers and its body. */
+    public record Answer(int status, HttpHeaders headers, Map<String, Object> body) {
+        /** The first value of a header; "" where there is none. */
+        public String header(String name) {
+            return headers.firstValue(name).orElse("");
+        }
+
+        /** Why the call was refused. */
+        public String error() {
+            return String.valueOf(body.get("error"));
+        }
+
         public long index() {
             return ((Number) body.get("index")).longValue();
         }
@@ -38,7 +49,8 @@
         HttpResponse<String> answer = http.send(HttpRequest.newBuilder(URI.create(base + path))
                 .method(method, HttpRequest.BodyPublishers.ofString(body))
                 .timeout(Duration.ofSeconds(30)).build(), HttpResponse.BodyHandlers.ofString());
-        return new Answer(answer.statusCode(), Json.object(answer.body().getBytes(StandardCharsets.UTF_8)));
+        return new Answer(answer.statusCode(), answer.headers(),
+                Json.object(answer.body().getBytes(StandardCharsets.UTF_8)));
     }
 
     public Answer register(String name, String address, String more)
--- a/src/test/java/larkworks/registry/ListStateMachinePropertyTest.java
+++ b/src/test/java/larkworks/registry/ListStateMachinePropertyTest.java
@@ -128,7 +128,8 @@
         }
         for (long from = 0; from <= straight.catalog().index(); from++) {
             assertEquals(straight.catalog().knows(from), other.catalog().knows(from));
-            assertEquals(List.copyOf(straight.catalog().since(from)), List.copyOf(other.catalog().since(from)));
+            assertEquals(List.copyOf(straight.catalog().since(from)),
+                    List.copyOf(other.catalog().since(from)));
         }
     }
 
@@ -159,7 +160,8 @@
         machine.apply(new Decision.Lead(1, "one", atOnce, 9), BEGUN_MS, 1, c -> { });
         machine.apply(new Command.Register("a", registration), BEGUN_MS, 1, c -> { });
         // Sent by the leader of term 1, and taken into the log by the one of term 2.
-        assertEquals(409, machine.apply(new Decision.Expire(1, List.of("a")), BEGUN_MS, 2, c -> { }).status());
+        assertEquals(409, machine.apply(new Decision.Expire(1, List.of("a")), BEGUN_MS, 2, c -> { })
+                .status());
         assertEquals(Status.IN_SERVICE, machine.catalog().get("a").status());
         machine.apply(new Decision.Lead(2, "two", atOnce, 9), BEGUN_MS, 2, c -> { });
         assertEquals("one", machine.epoch());
--- /dev/null
+++ b/src/test/java/larkworks/registry/Replicas.java
@@ -0,0 +1,169 @@
+package larkworks.registry;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import larkworks.Program;
+import larkworks.SocketOwner;
+import larkworks.TcpRelay;
+
+/** The replicas of a list service as processes, with a relay before each of them that can cut it off. */
+final class Replicas implements AutoCloseable {
+
+    private final Path folder;
+    private final String settings;
+    private final String[] arguments;
+    private final Map<String, TcpRelay> relays = new TreeMap<>();
+    private final Map<String, Integer> ports = new TreeMap<>();
+    private final Map<String, Program> programs = new TreeMap<>();
+    private final Map<String, Caller> callers = new TreeMap<>();
+
+    /**
+     * Starts them all.
+     *
+     * @param settings more lines for the replicas table
+     * @param arguments more arguments for each process
+     */
+    Replicas(Path folder, int count, String settings, String... arguments)
+            throws IOException, InterruptedException {
+        this.folder = folder;
+        this.settings = settings;
+        this.arguments = arguments;
+        for (int i = 0; i < count; i++) {
+            String id = String.valueOf((char) ('a' + i));
+            int port = freePort();
+            ports.put(id, port);
+            relays.put(id, new TcpRelay(new InetSocketAddress(InetAddress.getLoopbackAddress(), port)));
+        }
+        for (String id : ids()) {
+            launch(id, "");
+        }
+        for (String id : ids()) {
+            await(id);
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    List<String> ids() {
+        return List.copyOf(ports.keySet());
+    }
+
+    /** Those but one. */
+    List<String> others(String id) {
+        return ids().stream().filter(other -> !other.equals(id)).toList();
+    }
+
+    Caller caller(String id) {
+        return callers.get(id);
+    }
+
+    Program program(String id) {
+        return programs.get(id);
+    }
+
+    Path data(String id) {
+        return folder.resolve(id);
+    }
+
+    /** Starts one; {@code shell} as with {@link Program}. */
+    void start(String id, String shell) throws IOException, InterruptedException {
+        launch(id, shell);
+        await(id);
+    }
+
+    private void launch(String id, String shell) throws IOException {
+        StringBuilder toml = new StringBuilder("[replicas]\nid = \"" + id + "\"\nlisten = \"127.0.0.1:"
+                + ports.get(id) + "\"\n" + settings + "\n[replicas.addresses]\n");
+        relays.forEach((other, relay) -> toml.append(other).append(" = \"").append(relay.address())
+                .append("\"\n"));
+        Path file = folder.resolve(id + ".toml");
+        Files.writeString(file, toml);
+        List<String> args = new ArrayList<>(List.of("registry", "--listen", "127.0.0.1:0", "--data",
+                data(id).toString(), "--replicas", file.toString()));
+        args.addAll(List.of(arguments));
+        programs.put(id, new Program(shell, Map.of(), args.toArray(String[]::new)));
+    }
+
+    private void await(String id) throws InterruptedException {
+        callers.put(id, new Caller((String) programs.get(id).logged("serving").get("address")));
+    }
+
+    void kill(String id) throws InterruptedException {
+        programs.get(id).kill();
+    }
+
+    /** From now on nothing passes between one replica and the others, in either direction. */
+    void cut(String alone) throws IOException {
+        for (String id : ids()) {
+            relays.get(id).cut(near -> ids().stream().anyMatch(other ->
+                    id.equals(alone) != other.equals(alone)
+                            && SocketOwner.holds(programs.get(other).process, near)));
+        }
+    }
+
+    void heal() throws IOException {
+        for (TcpRelay relay : relays.values()) {
+            relay.cut(near -> false);
+        }
+    }
+
+    Map<String, Object> status(String id) {
+        try {
+            return caller(id).call("GET", "/registry/v1/status", "").body();
+        } catch (IOException | InterruptedException e) {
+            return Map.of();  // not up
+        }
+    }
+
+    /** Waits until one of these leads and has begun, and says which. */
+    String awaitLeader(List<String> among) throws InterruptedException {
+        List<String> leader = new ArrayList<>();
+        Program.await(30, () -> among.stream().map(this::status).toList() + " " + programs.values().stream()
+                .map(p -> p.lines).toList(), () -> {
+            leader.clear();
+            among.stream().filter(id -> Boolean.TRUE.equals(status(id).get("leads"))
+                    && status(id).get("epoch") != null).forEach(leader::add);
+            return leader.size() == 1;
+        });
+        return leader.get(0);
+    }
+
+    /** Waits until these all hold the same list, fresh by their word, and returns it. */
+    Caller.Answer awaitSame(List<String> among) throws IOException, InterruptedException {
+        List<Caller.Answer> lists = new ArrayList<>();
+        Program.await(30, () -> among.stream().map(this::status).toList().toString(), () -> {
+            lists.clear();
+            for (String id : among) {
+                try {
+                    lists.add(caller(id).list(""));
+                } catch (IOException | InterruptedException e) {
+                    return false;
+                }
+            }
+            return lists.stream().allMatch(list -> list.status() == 200
+                    && list.header(ReplicaService.STALE).isEmpty()
+                    && list.body().equals(lists.get(0).body()));
+        });
+        return lists.get(0);
+    }
+
+    @Override
+    public void close() throws IOException {
+        programs.values().forEach(Program::close);
+        for (TcpRelay relay : relays.values()) {
+            relay.close();
+        }
+    }
+}
