--- a/src/main/java/larkworks/registry/RatisStateMachine.java
+++ b/src/main/java/larkworks/registry/RatisStateMachine.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.function.Supplier;
@@ -169,6 +170,17 @@
         }
     }
 
+    /** It has stepped down, and perhaps nobody leads yet. */
+    @Override
+    public void notifyNotLeader(Collection<TransactionContext> pending) {
+        loop.execute(owner::follow);
+    }
+
+    @Override
+    public void notifyLogFailed(Throwable cause, LogEntryProto entry) {
+        loop.execute(() -> owner.logFailed(cause));
+    }
+
     @Override
     public void notifyLeaderChanged(RaftGroupMemberId member, RaftPeerId leader) {
         if (!member.getPeerId().equals(leader)) {
--- a/src/main/java/larkworks/registry/ReplicaOwner.java
+++ b/src/main/java/larkworks/registry/ReplicaOwner.java
@@ -22,4 +22,7 @@
 
     /** This replica does not lead any more. */
     void follow();
+
+    /** Its log can't be written, and won't be until a new start. */
+    void logFailed(Throwable why);
 }
--- a/src/main/java/larkworks/registry/ReplicaService.java
+++ b/src/main/java/larkworks/registry/ReplicaService.java
@@ -44,6 +44,8 @@
     /** When all that a leader had committed was applied here, by {@link System#nanoTime}. */
     private long currentAt;
     private boolean everCurrent;
+    /** Why the log can't be written any more; null while it can. */
+    private String broken;
 
     ReplicaService(EventLoop loop, ReplicaSettings settings, Admission.Settings admission,
             int maxTombstones) {
@@ -81,6 +83,9 @@
     }
 
     private void look() {
+        if (broken != null) {
+            return;
+        }
         try {
             long heardMs = node.heardMs();
             if (heardMs >= 0) {
@@ -103,7 +108,7 @@
     }
 
     private boolean isStale() {
-        return ageMs() > settings.staleMs();
+        return broken != null || ageMs() > settings.staleMs();
     }
 
     @Override
@@ -143,6 +148,10 @@
     }
 
     private void checkQuorum() throws Refusal {
+        if (broken != null) {
+            throw new Refusal(503, "this replica's log can't be written (" + broken
+                    + "): it takes no part until it is started anew; reads go on, marked stale");
+        }
         if (isStale()) {
             throw new Refusal(503, "no quorum of replicas: " + (everCurrent ? "no word of a leader for "
                     + ageMs() + " ms" : "no leader was heard since the start")
@@ -291,4 +300,24 @@
         }
         duties.follow();
     }
+
+    /** It leaves the group, so that one whose log can be written leads; what was applied is served on. */
+    @Override
+    public void logFailed(Throwable why) {
+        if (broken != null) {
+            return;
+        }
+        broken = ReplicatedRegistry.root(why);
+        LOG.atError().addKeyValue("why", broken).log("the log can't be written: no part is taken any more");
+        duties.follow();
+        Thread end = new Thread(() -> {
+            try {
+                node.close();
+            } catch (IOException e) {
+                LOG.atError().setCause(e).log("the engine did not end cleanly");
+            }
+        }, "engine-end");
+        end.setDaemon(true);
+        end.start();
+    }
 }
--- a/src/main/java/larkworks/registry/ReplicatedRegistry.java
+++ b/src/main/java/larkworks/registry/ReplicatedRegistry.java
@@ -60,7 +60,8 @@
         return Files.createDirectories(data.resolve("replica"));
     }
 
-    private static String root(Throwable e) {
+    /** What is at the bottom of a failure of the engine, for people. */
+    static String root(Throwable e) {
         Throwable cause = e;
         while (cause.getCause() != null) {
             cause = cause.getCause();
--- a/src/test/java/larkworks/registry/Replicas.java
+++ b/src/test/java/larkworks/registry/Replicas.java
@@ -100,6 +100,12 @@
         callers.put(id, new Caller((String) programs.get(id).logged("serving").get("address")));
     }
 
+    /** From now on no file of this process grows past so many bytes: its disk is full. */
+    void limitFiles(String id, long bytes) throws IOException, InterruptedException {
+        new ProcessBuilder("prlimit", "--pid", String.valueOf(program(id).process.pid()),
+                "--fsize=" + bytes).inheritIO().start().waitFor();
+    }
+
     void kill(String id) throws InterruptedException {
         programs.get(id).kill();
     }
