Go on with the watch at another replica of the list service, spread over 200 ms

Need: 1,400 proxies that lose a replica must not all come to the next one at once, each for the whole list. With several addresses, the next service after a failure is any of the others, later ones follow in turn, and the first call to it comes after up to 200 ms by chance. Where the service tells its epoch the version held is kept, and the whole list is asked for once as many services in a row answered without a list.

--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -59,6 +59,8 @@
      */
     private static final long IDLE_PAUSE_MS = 20;
     private static final long FIRST_PAUSE_MS = 50;
+    /** Those who lose one of several services at the same moment come to the others spread over so long. */
+    private static final long FAIL_OVER_MS = 200;
     /** The most, and with its jitter of a quarter no more than half of a drain's grace. */
     private static final long MOST_PAUSE_MS = 1_000;
     /** The largest list read: some thousand backends. */
@@ -92,6 +94,10 @@
      */
     private long unsureUs;
     private boolean closed;
+    /** Calls that came to nothing since the last answer, where there are several services. */
+    private int failedInRow;
+    /** Those of them that were answered, but with no list. */
+    private int refusedInRow;
     private boolean heard;
     /** Whether the first call has ended; where lists are asked for, they count only when they come. */
     private boolean settled;
@@ -158,6 +164,8 @@
         }
         addresses = others;
         at = 0;
+        failedInRow = 0;
+        refusedInRow = 0;
         forget();
         if (calling) {
             calling = false;
@@ -283,8 +291,9 @@
         } else {
             unsureUs = Math.min(unsureUs, driver.clock().nowUs());
             // With jitter, lest all proxies come back to a service that was down at the same moment.
-            loop.schedule(this::call, pauseMs * 3 / 4 + jitter.nextLong(pauseMs / 2 + 1),
-                    TimeUnit.MILLISECONDS);
+            long afterMs = failedInRow == 1 ? jitter.nextLong(FAIL_OVER_MS + 1)
+                    : pauseMs * 3 / 4 + jitter.nextLong(pauseMs / 2 + 1);
+            loop.schedule(this::call, afterMs, TimeUnit.MILLISECONDS);
             pauseMs = Math.min(2 * pauseMs, mostPauseMs);
         }
         settle();
@@ -296,7 +305,20 @@
         silence.cancel(false);
         dropChannel();
         if (addresses.size() > 1) {
-            at = (at + 1) % addresses.size();
+            failOver();
+        }
+    }
+
+    /**
+     * Turns to another service: to any first, lest all go from one to the same, and then to each in turn. One
+     * that tells which data it has is taken for a replica among others of the same data, where the watch goes
+     * on from the version held; the whole list is wanted once as many refused that as there are services.
+     */
+    private void failOver() {
+        failedInRow++;
+        int others = addresses.size() - 1;
+        at = (at + 1 + (failedInRow == 1 ? jitter.nextInt(others) : 0)) % addresses.size();
+        if (epoch == null || refusedInRow > others) {
             forget();
         }
     }
@@ -315,6 +337,7 @@
         }
         String told = response.headers().get(EPOCH);
         if (listing == null || !listing.whole() && !follows(listing, told)) {
+            refusedInRow++;
             failed();
             return;
         }
@@ -324,6 +347,8 @@
         heard = true;
         index = listing.index();
         pauseMs = FIRST_PAUSE_MS;
+        failedInRow = 0;
+        refusedInRow = 0;
         if (!HttpUtil.isKeepAlive(response)) {
             dropChannel();
         }
--- a/src/test/java/larkworks/proxy/Bench.java
+++ b/src/test/java/larkworks/proxy/Bench.java
@@ -37,6 +37,8 @@
     Map<String, String> environment = Map.of();
     /** Further lines of the configuration, each with its comma. */
     String more = "";
+    /** Services to ask beside {@link #discovery}. */
+    List<Peer> others = List.of();
     private Thread lists;
     private volatile String list;
     private Main main;
@@ -75,8 +77,8 @@
     String config(int listen, String known) {
         String kind = "{\"name\":\"%s\",\"effect\":\"%s\",\"group\":\"all\",\"goalTimeUs\":2000000,"
                 + "\"deadlineUs\":30000000,\"worth\":1.0,\"lateWorth\":0.0,\"dedupWindowUs\":30000000}";
-        return "{" + more + "\"name\":\"n0\",\"listen\":\"" + HOST + ":" + listen + "\",\"discovery\":\""
-                + discovery.address() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
+        return "{" + more + "\"name\":\"n0\",\"listen\":\"" + HOST + ":" + listen + "\",\"discovery\":"
+                + addresses() + ",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
                 + "\"memory_mb\":192,\"sockets\":" + sockets + "},\"known\":" + known + ",\"settings\":{"
                 + "\"balancers\":1,\"categories\":[" + String.format(kind, "look", "pure") + ","
                 + String.format(kind, "pay", "token") + "," + String.format(kind, "act", "side_effect")
@@ -90,6 +92,12 @@
                 + ",\"tipMultiple\":2.5},\"tenants\":[{\"name\":\"acme\",\"quotaPerS\":0}]}}";
     }
 
+    private String addresses() {
+        String first = "\"" + discovery.address() + "\"";
+        return others.isEmpty() ? first : "[" + first + ",\"" + String.join("\",\"",
+                others.stream().map(Peer::address).toList()) + "\"]";
+    }
+
     /** Lets discovery answer by itself, each call at once with this list until the next one. */
     void list(String text) {
         list = text;
