Replace replicas of the list service one at a time, by a call to any of them

Need: a machine of the four is lost or exchanged. PUT /registry/v1/replicas has the group consist of the addresses given, at most one more and one less than now (409); the new replica is started before with join = true and takes part once it has the others' state.

--- a/src/main/java/larkworks/registry/ListCalls.java
+++ b/src/main/java/larkworks/registry/ListCalls.java
@@ -54,6 +54,14 @@
     /** Answered with the rollout as it stands and what the proxies report, as JSON. */
     void rollout(Answer<byte[]> answer) throws Refusal;
 
+    /**
+     * Has the list service kept by these replicas from now on; answered with the list's version.
+     *
+     * @param addresses of all replicas by id, as they reach each other
+     * @throws Refusal 404 where there are no replicas, 400 or 409 where these can't follow the present ones
+     */
+    void setReplicas(Map<String, String> addresses, Answer<Long> answer) throws Refusal;
+
     /** Figures for the operator. */
     Map<String, Object> figures();
 }
--- a/src/main/java/larkworks/registry/ListService.java
+++ b/src/main/java/larkworks/registry/ListService.java
@@ -120,6 +120,11 @@
         }
     }
 
+    @Override
+    public void setReplicas(Map<String, String> addresses, Answer<Long> answer) throws Refusal {
+        throw new Refusal(404, "this list service has no replicas");
+    }
+
     @Override
     public Map<String, Object> figures() {
         List<Instance> live = catalog.live();
--- a/src/main/java/larkworks/registry/RaftNode.java
+++ b/src/main/java/larkworks/registry/RaftNode.java
@@ -8,6 +8,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import larkworks.platform.Addresses;
@@ -19,6 +21,7 @@
 import org.apache.ratis.proto.RaftProtos.CommitInfoProto;
 import org.apache.ratis.proto.RaftProtos.RoleInfoProto;
 import org.apache.ratis.proto.RaftProtos.ServerRpcProto;
+import org.apache.ratis.protocol.RaftClientReply;
 import org.apache.ratis.protocol.RaftGroup;
 import org.apache.ratis.protocol.RaftGroupId;
 import org.apache.ratis.protocol.RaftPeer;
@@ -44,24 +47,34 @@
     /** A process that was stopped for long comes back as a follower that is behind. */
     private static final int MOST_PAUSE_DAYS = 1;
 
+    private static final RaftGroupId GROUP = RaftGroupId.valueOf(UUID.nameUUIDFromBytes(
+            "larkworks registry".getBytes(StandardCharsets.US_ASCII)));
+
+    /** The replicas as the settings have them; the log may have others since. */
     private final RaftGroup group;
     private final RaftProperties properties = new RaftProperties();
     private final RaftServer server;
 
     /** @param data a directory that is the engine's own */
     RaftNode(ReplicaSettings settings, Path data, StateMachine machine) throws IOException {
-        List<RaftPeer> peers = new ArrayList<>();
-        settings.addresses().forEach((id, address) -> peers.add(RaftPeer.newBuilder().setId(id)
-                .setAddress(Addresses.text(address)).build()));
-        group = RaftGroup.valueOf(RaftGroupId.valueOf(UUID.nameUUIDFromBytes(
-                "larkworks registry".getBytes(StandardCharsets.US_ASCII))), peers);
+        Map<String, String> addresses = new LinkedHashMap<>();
+        settings.addresses().forEach((id, address) -> addresses.put(id, Addresses.text(address)));
+        group = RaftGroup.valueOf(GROUP, peers(addresses));
         configure(settings, data);
-        server = RaftServer.newBuilder().setServerId(RaftPeerId.valueOf(settings.id())).setGroup(group)
+        server = RaftServer.newBuilder().setServerId(RaftPeerId.valueOf(settings.id()))
+                .setGroup(settings.join() ? RaftGroup.valueOf(GROUP) : group)
                 .setProperties(properties).setStateMachine(machine)
                 .setOption(RaftStorage.StartupOption.RECOVER).build();
         server.start();
     }
 
+    private static List<RaftPeer> peers(Map<String, String> addresses) {
+        List<RaftPeer> peers = new ArrayList<>();
+        addresses.forEach((id, address) ->
+                peers.add(RaftPeer.newBuilder().setId(id).setAddress(address).build()));
+        return peers;
+    }
+
     private void configure(ReplicaSettings settings, Path data) {
         RaftConfigKeys.Rpc.setType(properties, SupportedRpcType.GRPC);
         GrpcConfigKeys.Server.setHost(properties, settings.listen().getHostString());
@@ -98,6 +111,35 @@
                 .build();
     }
 
+    /** Tells a client of the replicas there are now. */
+    void refresh(RaftClient client) throws IOException {
+        client.getClientRpc().addRaftPeers(division().getRaftConf().getCurrentPeers());
+    }
+
+    /** The ids of the replicas there are now. */
+    Set<String> members() throws IOException {
+        Set<String> ids = new TreeSet<>();
+        division().getRaftConf().getCurrentPeers().forEach(peer -> ids.add(peer.getId().toString()));
+        return ids;
+    }
+
+    /**
+     * Has the group consist of these from now on, which have to come to the state of the others first.
+     *
+     * @param mostMs it is given up after so long
+     */
+    void setMembers(Map<String, String> addresses, long mostMs) throws IOException {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(mostMs);
+        try (RaftClient client = client(event -> System.nanoTime() - deadline >= 0
+                ? RetryPolicy.NO_RETRY_ACTION : () -> millis(ATTEMPT_MS))) {
+            refresh(client);
+            RaftClientReply reply = client.admin().setConfiguration(peers(addresses));
+            if (!reply.isSuccess()) {
+                throw new IOException(String.valueOf(reply.getException()));
+            }
+        }
+    }
+
     /** The leader as far as is known here; null where none is. */
     RaftPeerId leader() throws IOException {
         return info().getLeaderId();
@@ -138,8 +180,7 @@
         figures.put("leader", leader() == null ? "" : leader().toString());
         figures.put("term", info().getCurrentTerm());
         figures.put("applied", info().getLastAppliedIndex());
-        figures.put("replicas", division().getRaftConf().getCurrentPeers().stream()
-                .map(peer -> peer.getId().toString()).sorted().toList());
+        figures.put("replicas", members());
         return figures;
     }
 
--- a/src/main/java/larkworks/registry/RegistryServer.java
+++ b/src/main/java/larkworks/registry/RegistryServer.java
@@ -55,6 +55,7 @@
  * PUT    /registry/v1/rollout/reports/NAME      a {@link larkworks.rollout.Report}; answered with the target
  * GET    /registry/v1/rollout
  * PUT    /registry/v1/admission/resume
+ * PUT    /registry/v1/replicas                  {"addresses": {ID: address}}, one replaced at a time
  * GET    /registry/v1/status
  * </pre>
  *
@@ -66,6 +67,7 @@
     static final String LIST = "/registry/instances";
     private static final String API = "/registry/v1/instances/";
     private static final String STATUS = "/registry/v1/status";
+    private static final String REPLICAS = "/registry/v1/replicas";
     private static final String RESUME = "/registry/v1/admission/resume";
     private static final String ROLLOUT = "/registry/v1/rollout";
     private static final String REPORTS = "/reports/";
@@ -160,6 +162,10 @@
             } else if (path.equals(RESUME)) {
                 want(call, HttpMethod.PUT);
                 service.resumeAdmission(done(context, keep));
+            } else if (path.equals(REPLICAS)) {
+                want(call, HttpMethod.PUT);
+                Replicas asked = Words.body(ByteBufUtil.getBytes(call.content()), Replicas.class);
+                service.setReplicas(asked.addresses(), done(context, keep));
             } else if (path.equals(ROLLOUT) || path.startsWith(ROLLOUT + "/")) {
                 rollout(context, call, path.substring(ROLLOUT.length()), keep);
             } else if (path.startsWith(API)) {
@@ -323,6 +329,9 @@
         }
     }
 
+    /** The body of a call about the replicas: their addresses by id. */
+    private record Replicas(Map<String, String> addresses) { }
+
     /** The body of a call about a status. */
     private record StatusCall(Status status) { }
 
--- a/src/main/java/larkworks/registry/ReplicaService.java
+++ b/src/main/java/larkworks/registry/ReplicaService.java
@@ -9,7 +9,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import larkworks.platform.Addresses;
 import larkworks.rollout.Report;
 import org.apache.ratis.protocol.RaftPeerId;
 import org.apache.ratis.protocol.exceptions.NotLeaderException;
@@ -31,6 +33,7 @@
     private static final long LOOK_MS = 50;
     private static final long MOST_WRITE_MS = 3_000;
     private static final long MOST_QUERY_MS = 1_000;
+    private static final long MOST_CHANGE_MS = 20_000;
 
     private final EventLoop loop;
     private final ReplicaSettings settings;
@@ -229,6 +232,50 @@
         }
     }
 
+    @Override
+    public void setReplicas(Map<String, String> addresses, Answer<Long> answer) throws Refusal {
+        checkQuorum();
+        checkReplicas(addresses);
+        // It waits until the new one has come to the state of the others.
+        Thread change = new Thread(() -> {
+            Exception[] failure = {null};
+            try {
+                node.setMembers(addresses, MOST_CHANGE_MS);
+            } catch (IOException e) {
+                failure[0] = new Refusal(503, "the replicas were not changed: " + e.getMessage());
+            }
+            loop.execute(() -> answer.ended(watches.index(), failure[0]));
+        }, "replicas");
+        change.setDaemon(true);
+        change.start();
+    }
+
+    private void checkReplicas(Map<String, String> addresses) throws Refusal {
+        if (addresses == null || addresses.isEmpty()) {
+            throw new Refusal(400, "addresses: IP:PORT by id are wanted");
+        }
+        for (Map.Entry<String, String> replica : addresses.entrySet()) {
+            try {
+                Addresses.parse(replica.getValue());
+            } catch (IllegalArgumentException e) {
+                throw new Refusal(400, "addresses." + replica.getKey() + ": IP:PORT is wanted");
+            }
+            if (!ReplicaSettings.isId(replica.getKey())) {
+                throw new Refusal(400, "addresses." + replica.getKey() + ": no id of a replica");
+            }
+        }
+        try {
+            Set<String> now = node.members();
+            long added = addresses.keySet().stream().filter(id -> !now.contains(id)).count();
+            long removed = now.stream().filter(id -> !addresses.containsKey(id)).count();
+            if (added > 1 || removed > 1) {
+                throw new Refusal(409, "one replica at a time: the present ones are " + now);
+            }
+        } catch (IOException e) {
+            throw new Refusal(503, "the present replicas can't be told: " + e.getMessage());
+        }
+    }
+
     @Override
     public Map<String, Object> figures() {
         Map<String, Object> figures = new LinkedHashMap<>();
