Keep replicas and a list service without replicas out of each other's data directory

A second replica on a directory was told so by the engine's stack traces for 5 s, and a single process on a replica's directory began an empty list beside its log. Both take the same lock file now, and refuse what is the other's with one line.

--- a/src/main/java/larkworks/registry/ReplicatedRegistry.java
+++ b/src/main/java/larkworks/registry/ReplicatedRegistry.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
@@ -15,6 +16,9 @@
 /** One replica of a list service: its data directory, its event loop, its addresses, from start to end. */
 public final class ReplicatedRegistry implements AutoCloseable {
 
+    /** What a replica's data directory holds beside the lock. */
+    static final String DATA = "replica";
+
     private static final Logger LOG = LoggerFactory.getLogger("registry");
 
     private final MultiThreadIoEventLoopGroup group =
@@ -22,6 +26,7 @@
     private final EventLoop loop = group.next();
     private final ReplicaService service;
     private final RegistryServer server;
+    private final FileChannel lock;
     private final RaftNode node;
     private final InetSocketAddress address;
 
@@ -34,13 +39,19 @@
             throws IOException, InterruptedException {
         service = new ReplicaService(loop, replica, settings.admission(), settings.maxTombstones());
         server = new RegistryServer(loop, service);
+        FileChannel held = null;
         try {
+            held = Folders.lock(settings.data());
             node = new RaftNode(replica, folder(settings.data()), new RatisStateMachine(loop, service));
         } catch (IOException | RuntimeException e) {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-            throw new IOException("replica '" + replica.id() + "' at " + replica.listen() + ", data in "
-                    + settings.data() + ": " + root(e), e);
+            if (held != null) {
+                held.close();
+            }
+            throw new IOException("replica '" + replica.id() + "' at " + Addresses.text(replica.listen())
+                    + ": " + root(e), e);
         }
+        lock = held;
         loop.submit(() -> service.start(node)).sync();
         var bound = server.listen(settings.listen()).await();
         if (!bound.isSuccess()) {
@@ -55,9 +66,9 @@
 
     private static Path folder(Path data) throws IOException {
         if (Files.exists(data.resolve("epoch"))) {
-            throw new IOException("it holds the data of a list service without replicas");
+            throw new IOException(data + ": it holds the data of a list service without replicas");
         }
-        return Files.createDirectories(data.resolve("replica"));
+        return Files.createDirectories(data.resolve(DATA));
     }
 
     /** What is at the bottom of a failure of the engine, for people. */
@@ -81,6 +92,7 @@
         service.stopForwarding();
         server.close();
         node.close();
+        lock.close();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
--- a/src/main/java/larkworks/registry/Store.java
+++ b/src/main/java/larkworks/registry/Store.java
@@ -4,12 +4,9 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.UUID;
@@ -101,12 +98,10 @@
      * @throws IOException saying which file is damaged, or that another process holds the directory
      */
     static Store open(Path folder, int maxTombstones, long snapshotBytes) throws IOException {
-        Files.createDirectories(folder);
-        FileChannel lockFile = FileChannel.open(folder.resolve("lock"), StandardOpenOption.WRITE,
-                StandardOpenOption.CREATE);
+        FileChannel lockFile = Folders.lock(folder);
         try {
-            if (!locked(lockFile)) {
-                throw new IOException(folder + ": another process holds this data directory");
+            if (Files.exists(folder.resolve(ReplicatedRegistry.DATA))) {
+                throw new IOException(folder + ": it holds the data of a replica");
             }
             return new Store(folder, lockFile, maxTombstones, snapshotBytes);
         } catch (IOException | RuntimeException e) {
@@ -115,16 +110,6 @@
         }
     }
 
-    /** The lock ends with the channel, or with the process. */
-    private static boolean locked(FileChannel file) throws IOException {
-        try {
-            FileLock lock = file.tryLock();
-            return lock != null;
-        } catch (OverlappingFileLockException e) {
-            return false;  // by this process itself
-        }
-    }
-
     private String epoch() throws IOException {
         Path file = folder.resolve("epoch");
         if (!Files.exists(file)) {
