Leave a replica of the list service that says it is stale for another one, after its answer

A replica that is cut off, or whose log can't be written, serves on what it has; a proxy that watches it would never turn to one that knows more. With one address nothing changes. Test: FailOverTest.aReplicaThatHearsNoLeaderIsLeftForAnother: with the old Discovery it asks the same one again.

--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -42,6 +42,8 @@
     private static final String PATH = "/registry/instances";
     /** Our own list service tells by it which data it holds; see {@code larkworks.registry}. */
     private static final String EPOCH = "X-Registry-Epoch";
+    /** A replica of it tells by it that it has not heard of a leader for long. */
+    private static final String STALE = "X-Registry-Stale";
     /**
      * How long a watch may wait. What one misses counts as told 6 s after it fell silent, which may be at its
      * beginning: by then its silence must have been noticed, and half a second of pause be over.
@@ -352,6 +354,11 @@
         if (!HttpUtil.isKeepAlive(response)) {
             dropChannel();
         }
+        if (addresses.size() > 1 && response.headers().contains(STALE)) {
+            // What it told is in force; another one may know more.
+            at = (at + 1) % addresses.size();
+            dropChannel();
+        }
         // First the next watch, so that it comes in time however long the news takes.
         if (listing.entries().isEmpty() && System.nanoTime() - calledAt < IDLE_PAUSE_MS * 1_000_000) {
             loop.schedule(this::call, IDLE_PAUSE_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/larkworks/proxy/FailOverTest.java
+++ b/src/test/java/larkworks/proxy/FailOverTest.java
@@ -69,6 +69,20 @@
         }
     }
 
+    @Test
+    void aReplicaThatHearsNoLeaderIsLeftForAnother() throws Exception {
+        try (Peer second = new Peer(); Bench bench = new Bench(1)) {
+            bench.others = List.of(second);
+            bench.start(folder);
+            bench.discovery.next().reply(200, bench.all(7), EPOCH, "X-Registry-Stale: true");
+            Peer.Message call = second.next();
+            assertWatches(7, call);
+            assertEquals(0, bench.discovery.waiting(), "no watch there fell silent first");
+            call.reply(200, Bench.list(8, false, bench.entry(0, "terminating")), EPOCH);
+            assertWatches(8, second.next());
+        }
+    }
+
     @Test
     void changesOfAnotherEpochAreNotTaken() throws Exception {
         try (Peer second = new Peer(); Bench bench = new Bench(1)) {
