--- a/src/main/java/larkworks/registry/RaftNode.java
+++ b/src/main/java/larkworks/registry/RaftNode.java
@@ -41,9 +41,7 @@
 
     /** A client's attempt that is not answered for so long is made anew, perhaps at another replica. */
     private static final int ATTEMPT_MS = 1_000;
-    /** Closed segments alone can go once a snapshot covers them. */
-    private static final String SEGMENT = "4MB";
-    private static final String PREALLOCATED = "256KB";
+    private static final long MOST_PREALLOCATED = 256 << 10;
     /** A process that was stopped for long comes back as a follower that is behind. */
     private static final int MOST_PAUSE_DAYS = 1;
 
@@ -91,8 +89,9 @@
         RaftServerConfigKeys.Rpc.setFirstElectionTimeoutMax(properties, most);
         RaftServerConfigKeys.Read.setOption(properties, RaftServerConfigKeys.Read.Option.LINEARIZABLE);
         RaftServerConfigKeys.Read.setLeaderLeaseEnabled(properties, true);
-        RaftServerConfigKeys.Log.setSegmentSizeMax(properties, SizeInBytes.valueOf(SEGMENT));
-        RaftServerConfigKeys.Log.setPreallocatedSize(properties, SizeInBytes.valueOf(PREALLOCATED));
+        RaftServerConfigKeys.Log.setSegmentSizeMax(properties, SizeInBytes.valueOf(settings.segmentBytes()));
+        RaftServerConfigKeys.Log.setPreallocatedSize(properties,
+                SizeInBytes.valueOf(Math.min(MOST_PREALLOCATED, settings.segmentBytes())));
         RaftServerConfigKeys.Log.setPurgeUptoSnapshotIndex(properties, true);
         RaftServerConfigKeys.Log.setPurgeGap(properties, 1);
         RaftServerConfigKeys.Snapshot.setAutoTriggerEnabled(properties, true);
--- a/src/main/java/larkworks/registry/RatisStateMachine.java
+++ b/src/main/java/larkworks/registry/RatisStateMachine.java
@@ -29,6 +29,8 @@
 import org.apache.ratis.thirdparty.com.google.protobuf.ByteString;
 import org.apache.ratis.util.LifeCycle;
 import org.apache.ratis.util.MD5FileUtil;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The list's state machine as Apache Ratis drives it. The engine's threads call here; all that touches the
@@ -37,6 +39,8 @@
  */
 final class RatisStateMachine extends BaseStateMachine {
 
+    private static final Logger LOG = LoggerFactory.getLogger("registry");
+
     private final EventLoop loop;
     private final ReplicaOwner owner;
     private final SimpleStateMachineStorage storage = new SimpleStateMachineStorage();
@@ -65,6 +69,8 @@
     @Override
     public void reinitialize() throws IOException {
         load();
+        LOG.atInfo().addKeyValue("entry", getLastAppliedTermIndex().getIndex())
+                .log("snapshot of the leader taken up");
         if (getLifeCycleState() == LifeCycle.State.PAUSED) {
             getLifeCycle().transition(LifeCycle.State.STARTING);
             getLifeCycle().transition(LifeCycle.State.RUNNING);
--- a/src/main/java/larkworks/registry/ReplicaSettings.java
+++ b/src/main/java/larkworks/registry/ReplicaSettings.java
@@ -14,15 +14,18 @@
  * @param join whether it is new, and waits to be taken in among the replicas
  * @param electionMs a replica that hears no leader for so long, twice as long at most, stands for election
  * @param staleMs what is served without word of a leader for longer is marked stale, and writes are refused
- * @param snapshotEntries log entries after which a snapshot is written and the log before it can go
+ * @param snapshotEntries log entries after which a snapshot is written
+ * @param segmentBytes length of the parts of the log, which go once a snapshot covers them
  */
 public record ReplicaSettings(String id, InetSocketAddress listen, Map<String, InetSocketAddress> addresses,
-        boolean join, long electionMs, long staleMs, long snapshotEntries) {
+        boolean join, long electionMs, long staleMs, long snapshotEntries,
+        long segmentBytes) {
 
     private static final int MOST_REPLICAS = 7;
     private static final long ELECTION_MS = 300;
     private static final long STALE_MS = 2_000;
     private static final long SNAPSHOT_ENTRIES = 20_000;
+    private static final long SEGMENT_BYTES = 4 << 20;
 
     /** Whether a replica may have that name. */
     static boolean isId(String id) {
@@ -55,6 +58,7 @@
                 replicas.flag("join", false),
                 replicas.whole("election_ms", ELECTION_MS, 50, 60_000),
                 replicas.whole("stale_ms", STALE_MS, 100, 3_600_000),
-                replicas.whole("snapshot_entries", SNAPSHOT_ENTRIES, 10, 100_000_000));
+                replicas.whole("snapshot_entries", SNAPSHOT_ENTRIES, 10, 100_000_000),
+                replicas.whole("segment_bytes", SEGMENT_BYTES, 1 << 10, 1 << 30));
     }
 }
--- a/src/test/java/larkworks/registry/ReplicaProcessTest.java
+++ b/src/test/java/larkworks/registry/ReplicaProcessTest.java
@@ -18,7 +18,10 @@
 class ReplicaProcessTest {
 
     /** So few that logs are compacted, and a replica that comes back needs the leader's snapshot. */
-    private static final String SHORT_LOG = "snapshot_entries = 100\n";
+    private static final String SHORT_LOG = "snapshot_entries = 100\nsegment_bytes = 8192\n";
+
+    /** The leader may apply as many entries between its last word on that and its end. */
+    private static final long KILLED_LATER = 100;
 
     @TempDir
     Path folder;
@@ -31,10 +34,16 @@
             WriteHistory history = new WriteHistory(replicas, 6);
             HoppingWatch watch = new HoppingWatch(replicas);
             history.awaitMore(150);
+            long applied = ((Number) replicas.status(leader).get("applied")).longValue();
             replicas.kill(leader);
             history.awaitMore(150);
             assertNotEquals(leader, replicas.awaitLeader(replicas.others(leader)));
+            // What it misses first is in no log any more.
+            Program.await(30, () -> replicas.others(leader).stream().map(replicas::logStart).toList()
+                    + " after " + applied, () -> replicas.others(leader).stream()
+                    .allMatch(id -> replicas.logStart(id) > applied + KILLED_LATER));
             replicas.start(leader, "");
+            replicas.program(leader).logged("snapshot of the leader taken up");
             history.awaitMore(60);
             history.end();
             Caller.Answer list = replicas.awaitSame(replicas.ids());
--- a/src/test/java/larkworks/registry/Replicas.java
+++ b/src/test/java/larkworks/registry/Replicas.java
@@ -1,6 +1,7 @@
 package larkworks.registry;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -14,6 +15,9 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import larkworks.Program;
 import larkworks.SocketOwner;
 import larkworks.TcpRelay;
@@ -21,6 +25,8 @@
 /** The replicas of a list service as processes, with a relay before each of them that can cut it off. */
 final class Replicas implements AutoCloseable {
 
+    private static final Pattern LOG_PART = Pattern.compile("log_(?:inprogress_)?([0-9]+)(?:-[0-9]+)?");
+
     private final Path folder;
     private final String settings;
     private final String[] arguments;
@@ -135,6 +141,17 @@
         callers.put(id, new Caller((String) programs.get(id).logged("serving").get("address")));
     }
 
+    /** The index of the first entry that its log still has. */
+    long logStart(String id) {
+        try (Stream<Path> files = Files.walk(data(id))) {
+            return files.map(file -> LOG_PART.matcher(file.getFileName().toString()))
+                    .filter(Matcher::matches).mapToLong(part -> Long.parseLong(part.group(1))).min()
+                    .orElse(0);
+        } catch (IOException | UncheckedIOException e) {
+            return 0;  // a part went while the folder was read
+        }
+    }
+
     /** From now on no file of this process grows past so many bytes: its disk is full. */
     void limitFiles(String id, long bytes) throws IOException, InterruptedException {
         new ProcessBuilder("prlimit", "--pid", String.valueOf(program(id).process.pid()),
--- a/src/test/java/larkworks/registry/ReplicatedRegistryTest.java
+++ b/src/test/java/larkworks/registry/ReplicatedRegistryTest.java
@@ -29,7 +29,7 @@
         }
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
         return new ReplicatedRegistry(settings(data),
-                new ReplicaSettings("a", address, Map.of("a", address), false, 300, 2_000, 1_000));
+                new ReplicaSettings("a", address, Map.of("a", address), false, 300, 2_000, 1_000, 1 << 20));
     }
 
     private static Registry.Settings settings(Path data) {
