--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -42,6 +42,8 @@
     private static final String PATH = "/registry/instances";
     /** Our own list service tells by it which data it holds; see {@code larkworks.registry}. */
     private static final String EPOCH = "X-Registry-Epoch";
+    /** A replica of it tells by it that it has not heard of a leader for long. */
+    private static final String STALE = "X-Registry-Stale";
     /**
      * How long a watch may wait. What one misses counts as told 6 s after it fell silent, which may be at its
      * beginning: by then its silence must have been noticed, and the pause be over after a call that failed.
@@ -69,6 +71,8 @@
      */
     private static final long IDLE_PAUSE_MS = 20;
     private static final long FIRST_PAUSE_MS = 50;
+    /** Those who lose one of several services at the same moment come to the others spread over so long. */
+    private static final long FAIL_OVER_MS = 200;
     /** The most, and with its jitter of a quarter no more than half of a drain's grace. */
     private static final long MOST_PAUSE_MS = 1_000;
     /** Where discovery must be asked, the module's pause after a failure is cut short by then; see above. */
@@ -109,6 +113,10 @@
      */
     private long unsureUs;
     private boolean closed;
+    /** Calls that came to nothing since the last answer, where there are several services. */
+    private int failedInRow;
+    /** Those of them that were answered, but with no list. */
+    private int refusedInRow;
     private boolean heard;
     /** Whether the first call has ended; where lists are asked for, they count only when they come. */
     private boolean settled;
@@ -177,6 +185,8 @@
         addresses = others;
         at = 0;
         behind = false;
+        failedInRow = 0;
+        refusedInRow = 0;
         forget();
         if (calling) {
             calling = false;
@@ -310,7 +320,9 @@
         } else {
             unsureUs = Math.min(unsureUs, driver.clock().nowUs());
             // With jitter, lest all proxies come back to a service that was down at the same moment.
-            callIn(pauseMs * 3 / 4 + jitter.nextLong(pauseMs / 2 + 1));
+            long afterMs = failedInRow == 1 ? jitter.nextLong(FAIL_OVER_MS + 1)
+                    : pauseMs * 3 / 4 + jitter.nextLong(pauseMs / 2 + 1);
+            callIn(afterMs);
             pauseMs = Math.min(2 * pauseMs, mostPauseMs);
         }
         settle();
@@ -323,7 +335,20 @@
         silence.cancel(false);
         dropChannel();
         if (addresses.size() > 1) {
-            at = (at + 1) % addresses.size();
+            failOver();
+        }
+    }
+
+    /**
+     * Turns to another service: to any first, lest all go from one to the same, and then to each in turn. One
+     * that tells which data it has is taken for a replica among others of the same data, where the watch goes
+     * on from the version held; the whole list is wanted once as many refused that as there are services.
+     */
+    private void failOver() {
+        failedInRow++;
+        int others = addresses.size() - 1;
+        at = (at + 1 + (failedInRow == 1 ? jitter.nextInt(others) : 0)) % addresses.size();
+        if (epoch == null || refusedInRow > others) {
             forget();
         }
     }
@@ -342,6 +367,7 @@
         }
         String told = response.headers().get(EPOCH);
         if (listing == null || !listing.whole() && !follows(listing, told)) {
+            refusedInRow++;
             failed();
             return;
         }
@@ -352,9 +378,16 @@
         behind = false;
         index = listing.index();
         pauseMs = FIRST_PAUSE_MS;
+        failedInRow = 0;
+        refusedInRow = 0;
         if (!HttpUtil.isKeepAlive(response)) {
             dropChannel();
         }
+        if (addresses.size() > 1 && response.headers().contains(STALE)) {
+            // What it told is in force; another one may know more.
+            at = (at + 1) % addresses.size();
+            dropChannel();
+        }
         // First the next watch, so that it comes in time however long the news takes.
         if (listing.entries().isEmpty() && System.nanoTime() - calledAt < IDLE_PAUSE_MS * 1_000_000) {
             callIn(IDLE_PAUSE_MS);
