Add larkworks scale: hollow fleets on simulated time, hollow proxies on a real list service

The operators expect 1,400 proxies; no tool here ran more than 50 processes. The new package larkworks.scale takes a TOML scenario and a seed: members run the real Membership and SharedState on simulated time, with loss, cuts, kills, pauses and restarts by rack, zone and region; hollow discovery clients, backends and rollout reporters speak to a list service process over loopback. Results are one JSON record and a page of plots (XChart, without its PDF and GIF parts) with fitted lines and their residuals.

Tests hold counts, not times: membership 488 bytes a member a second at 50, 100 and 200 members, verdicts' bytes, bytes of a change to a watch, no whole list after an outage, same seed same result.

--- a/src/main/java/larkworks/cli/Larkworks.java
+++ b/src/main/java/larkworks/cli/Larkworks.java
@@ -17,7 +17,8 @@
 @Command(name = "larkworks", mixinStandardHelpOptions = true, versionProvider = Version.class,
         description = "A load-balancing proxy for services that call services, and what its fleet needs.",
         subcommands = {ProxyCommand.class, AdapterCommand.class, RegistryCommand.class, MemberCommand.class,
-            MembersCommand.class, CheckConfigCommand.class, RolloutCommand.class, HelpCommand.class})
+            MembersCommand.class, CheckConfigCommand.class, RolloutCommand.class, ScaleCommand.class,
+            HelpCommand.class})
 public final class Larkworks implements Runnable {
 
     @Spec
--- a/src/main/java/larkworks/fleet/MembershipSettings.java
+++ b/src/main/java/larkworks/fleet/MembershipSettings.java
@@ -52,7 +52,7 @@
     }
 
     /** Reads the {@code membership} table; what is wrong is noted in it. */
-    static MembershipSettings of(Section m) {
+    public static MembershipSettings of(Section m) {
         MembershipSettings d = defaults();
         double interval = m.number("probe_interval_ms", d.probeIntervalUs() / 1e3, 1, MOST_MS);
         double timeout = m.number("probe_timeout_ms", Math.min(d.probeTimeoutUs() / 1e3, interval * 0.4),
--- a/src/main/java/larkworks/platform/Section.java
+++ b/src/main/java/larkworks/platform/Section.java
@@ -97,6 +97,27 @@
         return least;
     }
 
+    /** Whole numbers within bounds, at least one; {@code fallback} as with one number. */
+    public List<Long> wholes(String key, List<Long> fallback, long least, long most) {
+        if (!has(key) && fallback != null) {
+            return fallback;
+        }
+        List<Long> numbers = new ArrayList<>();
+        if (values.get(key) instanceof List<?> given) {
+            for (Object value : given) {
+                if (value instanceof Number n && n.doubleValue() == Math.rint(n.doubleValue())
+                        && n.longValue() >= least && n.longValue() <= most) {
+                    numbers.add(n.longValue());
+                }
+            }
+            if (!given.isEmpty() && numbers.size() == given.size()) {
+                return numbers;
+            }
+        }
+        wanted(key, "a list of whole numbers" + bounds(String.valueOf(least), String.valueOf(most), false));
+        return List.of(least);
+    }
+
     private static String bounds(String least, String most, boolean open) {
         return open ? " of " + least + " or more" : " from " + least + " to " + most;
     }
--- a/src/test/java/larkworks/cli/LarkworksTest.java
+++ b/src/test/java/larkworks/cli/LarkworksTest.java
@@ -26,7 +26,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"", "serve", "registry", "registry --listen nowhere --data x", "proxy --what",
         "registry --listen 127.0.0.1:0 --data x --max-tombstones -1", "member", "member no-such-file",
-        "members localhost:1"})
+        "members localhost:1", "scale", "scale no-such-file", "scale README.md --seed x"})
     void saysInOneLineWhatIsWrongWithTheCall(String call) {
         assertEquals(2, run(call.isEmpty() ? NONE : call.split(" ")), call);
         assertTrue(err.toString().startsWith("larkworks: "), err.toString());
