Measure the request path by calls through a real proxy and past it in turn

The table path of a scenario starts a proxy with the flags of run, a list service and answering backends, and sends each second call by the proxy. The figures of processes (processor time, memory, heap) are in one class.

--- a/src/main/java/larkworks/scale/ListRun.java
+++ b/src/main/java/larkworks/scale/ListRun.java
@@ -5,7 +5,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
-import java.lang.management.OperatingSystemMXBean;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -93,18 +92,17 @@
             progress.accept(watchers + " watches: " + fault.name() + ", in force after "
                     + faults.get(faults.size() - 1).inForceS() + " s");
         }
-        ListResult.Service figures = new ListResult.Service(service.heapMb(), service.rssMb(),
-                service.peakRssMb());
+        ProcessFigures figures = service.figures();
         return new ListResult("real", watchers, count, loadAverage(), steady, changes, burst, reports, faults,
-                figures);
+                new ListResult.Service(figures.heapMb(), figures.rssMb(), figures.peakRssMb()));
     }
 
-    private static double loadAverage() {
-        OperatingSystemMXBean system = ManagementFactory.getOperatingSystemMXBean();
-        return system.getSystemLoadAverage();
+    static double loadAverage() {
+        return ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage();
     }
 
-    private static InetSocketAddress local(int net, int number) throws UnknownHostException {
+    /** A loopback address of a hollow client's own; any port. */
+    static InetSocketAddress local(int net, int number) throws UnknownHostException {
         return new InetSocketAddress(InetAddress.getByAddress(new byte[] {127, (byte) net,
             (byte) (number / 250), (byte) (1 + number % 250)}), 0);
     }
@@ -114,13 +112,13 @@
     private ListResult.Steady steady() throws Exception {
         long calls = onLoop(() -> counts.calls);
         long bytes = onLoop(this::bytes);
-        double cpu = service.cpuS();
+        double cpu = service.figures().cpuS();
         double clientCpu = loopCpuS();
         long begun = System.nanoTime();
         pause(scenario.steadyS());
         double seconds = since(begun);
         steadyBytesPerS = (onLoop(this::bytes) - bytes) / seconds / watchers;
-        steadyCores = (service.cpuS() - cpu) / seconds;
+        steadyCores = (service.figures().cpuS() - cpu) / seconds;
         return new ListResult.Steady(seconds, (onLoop(() -> counts.calls) - calls) / seconds / watchers,
                 steadyBytesPerS, steadyCores, (loopCpuS() - clientCpu) / seconds);
     }
@@ -128,7 +126,7 @@
     private ListResult.Changes changes(int count, double everyS) throws Exception {
         onLoop(this::begin);
         long bytes = onLoop(this::bytes);
-        double cpu = service.cpuS();
+        double cpu = service.figures().cpuS();
         long begun = System.nanoTime();
         if (everyS == 0) {
             onLoop(() -> {
@@ -150,7 +148,7 @@
         double seconds = since(begun);
         return new ListResult.Changes(count, onLoop(times::lag), onLoop(times::toAll),
                 ((onLoop(this::bytes) - bytes) / (double) watchers - steadyBytesPerS * seconds) / count,
-                1e3 * (service.cpuS() - cpu - steadyCores * seconds) / count, seconds);
+                1e3 * (service.figures().cpuS() - cpu - steadyCores * seconds) / count, seconds);
     }
 
     private ListResult.Reports reports(InetSocketAddress address) throws Exception {
@@ -176,11 +174,11 @@
             reported.bytes.received = 0;
             return null;
         });
-        double cpu = service.cpuS();
+        double cpu = service.figures().cpuS();
         long begun = System.nanoTime();
         pause(scenario.steadyS());
         double seconds = since(begun);
-        double cores = (service.cpuS() - cpu) / seconds;
+        double cores = (service.figures().cpuS() - cpu) / seconds;
         ListResult.Reports figures = onLoop(() -> new ListResult.Reports(Distribution.of(reported.answers),
                 reported.answered / seconds, reported.due / seconds, reported.failed,
                 (reported.bytes.sent + reported.bytes.received) / (double) Math.max(1, reported.answered),
@@ -268,7 +266,8 @@
         long failed = onLoop(() -> counts.failures) - failures;
         return new ListResult.ListFault(fault.name(), fault.kind().word(), fault.forS(), affected, inForceS,
                 afterS, failed, onLoop(() -> counts.wholeLists) - whole,
-                (onLoop(() -> counts.bytes.received) - received) / (double) watchers, service.peakRssMb());
+                (onLoop(() -> counts.bytes.received) - received) / (double) watchers,
+                service.figures().peakRssMb());
     }
 
     /** Backends that a fault hits, of those there are. */
--- a/src/main/java/larkworks/scale/ScaleResult.java
+++ b/src/main/java/larkworks/scale/ScaleResult.java
@@ -20,7 +20,7 @@
  */
 @JsonInclude(JsonInclude.Include.NON_NULL)
 public record ScaleResult(String scenario, long seed, List<FleetResult> fleet, List<ListResult> lists,
-        List<CostResult> cost, List<Slope> slopes) {
+        List<CostResult> cost, List<PathResult> path, List<Slope> slopes) {
 
     private static final String MEMBERS = "members";
     private static final String WATCHES = "watches";
@@ -31,8 +31,8 @@
 
     /** The result of these parts, with lines fitted. */
     static ScaleResult of(Scenario scenario, List<FleetResult> fleet, List<ListResult> lists,
-            List<CostResult> cost) {
-        return new ScaleResult(scenario.name(), scenario.seed(), fleet, lists, cost,
+            List<CostResult> cost, List<PathResult> path) {
+        return new ScaleResult(scenario.name(), scenario.seed(), fleet, lists, cost, path,
                 slopes(fleet, lists, cost));
     }
 
--- a/src/main/java/larkworks/scale/ScaleRun.java
+++ b/src/main/java/larkworks/scale/ScaleRun.java
@@ -38,7 +38,17 @@
                 progress.accept(servers + " servers: cost measured");
             }
         }
-        return ScaleResult.of(scenario, fleet, lists, cost);
+        List<PathResult> path = null;
+        if (scenario.path() != null) {
+            path = new ArrayList<>();
+            for (int rate : scenario.path().callsPerS()) {
+                try (PathRun run = new PathRun(scenario.path(), scenario.seed())) {
+                    path.add(run.run(rate));
+                }
+                progress.accept(rate + " calls a second: measured");
+            }
+        }
+        return ScaleResult.of(scenario, fleet, lists, cost, path);
     }
 
     /** Writes {@code NAME.json} and {@code NAME.png} to a folder, made where there is none. */
--- a/src/main/java/larkworks/scale/Scenario.java
+++ b/src/main/java/larkworks/scale/Scenario.java
@@ -11,8 +11,10 @@
  * @param fleet null where there is no such table
  * @param lists null where there is no such table
  * @param cost null where there is no such table
+ * @param path null where there is no such table
  */
-public record Scenario(String name, long seed, FleetScenario fleet, ListScenario lists, CostScenario cost) {
+public record Scenario(String name, long seed, FleetScenario fleet, ListScenario lists, CostScenario cost,
+        PathScenario path) {
 
     /**
      * Reads a file.
@@ -24,9 +26,11 @@
         Scenario scenario = new Scenario(top.text("name", null), top.whole("seed", 1L, 0, Long.MAX_VALUE),
                 top.has("fleet") ? FleetScenario.of(top.section("fleet")) : null,
                 top.has("lists") ? ListScenario.of(top.section("lists")) : null,
-                top.has("cost") ? CostScenario.of(top.section("cost")) : null);
-        if (!top.has("fleet") && !top.has("lists") && !top.has("cost")) {
-            top.fault("fleet", "a table of this name, or lists, or cost, is wanted");
+                top.has("cost") ? CostScenario.of(top.section("cost")) : null,
+                top.has("path") ? PathScenario.of(top.section("path")) : null);
+        if (scenario.fleet == null && scenario.lists == null && scenario.cost == null
+                && scenario.path == null) {
+            top.fault("fleet", "a table of this name, or lists, cost or path, is wanted");
         }
         top.refuseUnknown();
         if (!top.faults().isEmpty()) {
@@ -37,6 +41,6 @@
 
     /** The same with another seed. */
     public Scenario seeded(long other) {
-        return new Scenario(name, other, fleet, lists, cost);
+        return new Scenario(name, other, fleet, lists, cost, path);
     }
 }
--- a/src/main/java/larkworks/scale/ServiceConnection.java
+++ b/src/main/java/larkworks/scale/ServiceConnection.java
@@ -25,9 +25,10 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 
 /**
- * A hollow client's connection to the list service: HTTP/1.1, one call at a time. Of an answer only the
+ * A hollow client's connection to a service: HTTP/1.1, one call at a time. Of an answer only the
  * beginning is kept, as hundreds of clients may be answered with a whole list at once.
  */
 final class ServiceConnection {
@@ -94,17 +95,22 @@
     }
 
     void get(String path) {
-        call(HttpMethod.GET, path, "");
+        call(HttpMethod.GET, path, "", Map.of());
+    }
+
+    void get(String path, Map<String, String> headers) {
+        call(HttpMethod.GET, path, "", headers);
     }
 
     void put(String path, String body) {
-        call(HttpMethod.PUT, path, body);
+        call(HttpMethod.PUT, path, body, Map.of());
     }
 
-    private void call(HttpMethod method, String path, String body) {
+    private void call(HttpMethod method, String path, String body, Map<String, String> headers) {
         var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path,
                 Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
         request.headers().set(HttpHeaderNames.HOST, host);
+        headers.forEach(request.headers()::set);
         if (!method.equals(HttpMethod.GET)) {
             request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         }
--- a/src/test/java/larkworks/scale/FleetScaleTest.java
+++ b/src/test/java/larkworks/scale/FleetScaleTest.java
@@ -102,7 +102,7 @@
         Scenario scenario = new Scenario("s", 3, new FleetScenario(List.of(20, 40), new Topology(2, 5, 10),
                 new Network(300, 10_000, 0.05), 5, 10, 300, MembershipSettings.defaults(), SHARED,
                 new Load(2, 3_000, 50, 0, 0), List.of(fault(Fault.Kind.RESTART, Topology.Scope.RACK, 2),
-                fault(Fault.Kind.PAUSE, Topology.Scope.ZONE, 3))), null, null);
+                fault(Fault.Kind.PAUSE, Topology.Scope.ZONE, 3))), null, null, null);
         JsonNode once = run(scenario);
         assertEquals(once, run(scenario));
         assertNotEquals(once, run(scenario.seeded(4)));
--- a/src/test/java/larkworks/scale/ScenarioTest.java
+++ b/src/test/java/larkworks/scale/ScenarioTest.java
@@ -72,7 +72,7 @@
                 + "not '1'",
         "[cost]~servers = [0]             | cost.servers: a list of whole numbers from 1 to 20000 is wanted, "
                 + "not '[0]'",
-        "seed = 1                         | fleet: a table of this name, or lists, or cost, is wanted",
+        "seed = 1                         | fleet: a table of this name, or lists, cost or path, is wanted",
     })
     void tellsWhatIsWrongWithWhichKey(String text, String fault) throws IOException {
         Unusable thrown = assertThrows(Unusable.class,
