--- a/src/main/java/larkworks/scale/HollowProxy.java
+++ b/src/main/java/larkworks/scale/HollowProxy.java
@@ -71,7 +71,8 @@
         calling = true;
         calledNs = System.nanoTime();
         counts.calls++;
-        silence = loop.schedule(this::failed, (index < 0 ? 0 : scenario.waitMs()) + SILENCE_MS,
+        // Cut off, a connection does not come up in its time; an open one is silent for longer.
+        silence = loop.schedule(this::failed, (index < 0 || cut && !up ? 0 : scenario.waitMs()) + SILENCE_MS,
                 TimeUnit.MILLISECONDS);
         if (up) {
             write();
@@ -155,7 +156,6 @@
     /** Cut off: its connection is silent, and no other comes up. */
     void cut() {
         cut = true;
-        up = false;
         if (connection != null) {
             connection.silence();
         }
@@ -164,10 +164,7 @@
     /** The cut is over; a connection from before is reset. */
     void heal() {
         cut = false;
-        if (connection != null) {
-            connection.close();
-            connection = null;
-        }
+        drop();
     }
 
     void close() {
