Measure a list service warm, a change's cost in whole, and rollouts in waves

Changes are now made before anything is measured, and nothing is taken off. Rollouts go in waves, whose cost at the service was not seen with one wave.

--- a/src/main/java/larkworks/scale/ListResult.java
+++ b/src/main/java/larkworks/scale/ListResult.java
@@ -30,8 +30,8 @@
      *
      * @param lagMs from the write's sending until a watch is answered with it
      * @param toAllMs until the last one is
-     * @param bytesEach sent and received above TCP for each change, a hollow proxy, its usual load taken off
-     * @param serviceMsEach processor time of the service for each change
+     * @param bytesEach sent and received above TCP for each change, a hollow proxy
+     * @param serviceMsEach processor time of the service for each change, the backends' heartbeats included
      * @param inForceS from the first write's sending until all watches had heard all
      */
     public record Changes(int count, Distribution lagMs, Distribution toAllMs, double bytesEach,
@@ -45,11 +45,12 @@
      * @param wantedPerS that fell due
      * @param failed that had no answer
      * @param bytesEach sent and received above TCP
-     * @param inForceS from a rollout's publishing in one wave until all were told its version; negative
+     * @param rolloutCores the service's processor time while a rollout was under way
+     * @param inForceS from the rollout's publishing until all were told its version; negative
      *     where that did not come within the limit
      */
     public record Reports(Distribution answerMs, double reportsPerS, double wantedPerS, long failed,
-            double bytesEach, double serviceCores, double inForceS) { }
+            double bytesEach, double serviceCores, double rolloutCores, double inForceS) { }
 
     /**
      * A fault.
--- a/src/main/java/larkworks/scale/ListRun.java
+++ b/src/main/java/larkworks/scale/ListRun.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /** Takes a list service with so many hollow proxies and backends through its scenario, in real time. */
@@ -43,8 +44,6 @@
     /** Writes answered since the last part's beginning, and the latest version they made; on the loop. */
     private int made;
     private long latest;
-    private double steadyBytesPerS;
-    private double steadyCores;
 
     ListRun(ListScenario scenario, int watchers, long seed, Consumer<String> progress) throws IOException {
         this.scenario = scenario;
@@ -79,6 +78,9 @@
             return null;
         });
         want("not all proxies have the list", () -> allHold(latest));
+        if (scenario.warmChanges() > 0) {
+            changes(scenario.warmChanges(), 1 / scenario.changesPerS());
+        }
         ListResult.Steady steady = steady();
         progress.accept(watchers + " watches: steady");
         ListResult.Changes changes = scenario.changes() == 0 ? null
@@ -117,10 +119,9 @@
         long begun = System.nanoTime();
         pause(scenario.steadyS());
         double seconds = since(begun);
-        steadyBytesPerS = (onLoop(this::bytes) - bytes) / seconds / watchers;
-        steadyCores = (service.figures().cpuS() - cpu) / seconds;
         return new ListResult.Steady(seconds, (onLoop(() -> counts.calls) - calls) / seconds / watchers,
-                steadyBytesPerS, steadyCores, (loopCpuS() - clientCpu) / seconds);
+                (onLoop(this::bytes) - bytes) / seconds / watchers,
+                (service.figures().cpuS() - cpu) / seconds, (loopCpuS() - clientCpu) / seconds);
     }
 
     private ListResult.Changes changes(int count, double everyS) throws Exception {
@@ -147,8 +148,8 @@
         want("not all changes came to all", () -> made == count && allHold(latest));
         double seconds = since(begun);
         return new ListResult.Changes(count, onLoop(times::lag), onLoop(times::toAll),
-                ((onLoop(this::bytes) - bytes) / (double) watchers - steadyBytesPerS * seconds) / count,
-                1e3 * (service.figures().cpuS() - cpu - steadyCores * seconds) / count, seconds);
+                (onLoop(this::bytes) - bytes) / (double) watchers / count,
+                1e3 * (service.figures().cpuS() - cpu) / count, seconds);
     }
 
     private ListResult.Reports reports(InetSocketAddress address) throws Exception {
@@ -182,21 +183,26 @@
         ListResult.Reports figures = onLoop(() -> new ListResult.Reports(Distribution.of(reported.answers),
                 reported.answered / seconds, reported.due / seconds, reported.failed,
                 (reported.bytes.sent + reported.bytes.received) / (double) Math.max(1, reported.answered),
-                cores, 0));
+                cores, 0, 0));
+        cpu = service.figures().cpuS();
+        begun = System.nanoTime();
         double inForceS = rollOut(address, reporters);
+        double rolloutCores = (service.figures().cpuS() - cpu) / since(begun);
         onLoop(() -> {
             reporters.forEach(HollowReporter::close);
             return null;
         });
         progress.accept(watchers + " watches: rollout in force after " + inForceS + " s");
         return new ListResult.Reports(figures.answerMs(), figures.reportsPerS(), figures.wantedPerS(),
-                figures.failed(), figures.bytesEach(), figures.serviceCores(), inForceS);
+                figures.failed(), figures.bytesEach(), figures.serviceCores(), rolloutCores, inForceS);
     }
 
     private double rollOut(InetSocketAddress address, List<HollowReporter> reporters) throws Exception {
         String plan = "{\"name\":\"scale\",\"patch\":{\"settings\":{\"text\":\""
-                + "x".repeat(scenario.patchBytes()) + "\"}},\"waves\":[{\"share\":1.0}],\"bake_ms\":0,"
-                + "\"wait_ms\":600000,\"max_error_share\":0.9,\"min_requests\":0}";
+                + "x".repeat(scenario.rollout().patchBytes()) + "\"}},\"waves\":["
+                + scenario.rollout().wavePercents().stream().map(p -> "{\"share\":" + p / 100.0 + "}")
+                .collect(Collectors.joining(",")) + "],\"bake_ms\":" + scenario.rollout().bakeMs()
+                + ",\"wait_ms\":600000,\"max_error_share\":0.9,\"min_requests\":0}";
         long begun = System.nanoTime();
         ServiceConnection.Client publisher = new ServiceConnection.Client() {
             private final ServiceConnection connection = new ServiceConnection(loop, local(3, 0), address,
--- a/src/main/java/larkworks/scale/PathRun.java
+++ b/src/main/java/larkworks/scale/PathRun.java
@@ -97,7 +97,7 @@
 
     private List<InetSocketAddress> serve(InetSocketAddress discovery) throws Exception {
         ListScenario lists = new ListScenario(List.of(), 0, new Topology(1, 1, 1_000), 0, LEASE_MS, LEASE_MS,
-                false, 0, 0, 0, 0, 0, 0, 0, 0, List.of());
+                false, 0, 0, 0, 0, 0, 0, null, 0, 0, List.of());
         List<InetSocketAddress> addresses = new ArrayList<>();
         AnsweringServer answering = new AnsweringServer(servers, scenario.answerMs());
         java.util.concurrent.CountDownLatch registered =
--- a/src/main/java/larkworks/scale/ScaleResult.java
+++ b/src/main/java/larkworks/scale/ScaleResult.java
@@ -98,6 +98,10 @@
         if (lists.get(0).reports() != null) {
             add(slopes, "service's cores, reports", WATCHES, lists, ListResult::watchers,
                     r -> r.reports().serviceCores());
+            add(slopes, "service's cores, a rollout under way", WATCHES, lists, ListResult::watchers,
+                    r -> r.reports().rolloutCores());
+            add(slopes, "s until a rollout is in force", WATCHES, lists, ListResult::watchers,
+                    r -> r.reports().inForceS());
         }
         for (int i = 0; i < lists.get(0).faults().size(); i++) {
             int at = i;
--- a/src/test/java/larkworks/scale/ListScaleTest.java
+++ b/src/test/java/larkworks/scale/ListScaleTest.java
@@ -14,8 +14,8 @@
 
     private static ListScenario scenario(int changes, int burst, boolean forget, Fault... faults) {
         // Watches that wait a minute: nothing but changes is told in a test's time.
-        return new ListScenario(List.of(), 20, TOPOLOGY, 60_000, 600_000, 600_000, forget, 0.2, changes, 50,
-                burst, 0, 100, 64, 60, List.of(faults));
+        return new ListScenario(List.of(), 20, TOPOLOGY, 60_000, 600_000, 600_000, forget, 0, 0.2, changes,
+                50, burst, 0, null, 64, 60, List.of(faults));
     }
 
     private static ListResult run(ListScenario scenario, int watchers) throws Exception {
