Make a simulated member at the moment it starts, not before

Members now start within 150 ms and are made then; a rollout's publisher is made on the loop, where its connection can't be up before it is there.

--- a/src/main/java/larkworks/scale/FleetResult.java
+++ b/src/main/java/larkworks/scale/FleetResult.java
@@ -10,12 +10,14 @@
  * @param steadyS how long the steady part was
  * @param steady traffic with no fault
  * @param steadyFalseDeaths members declared dead in it that were up
+ * @param steadyFalseSuspicions views of others in it in which a member that was up became suspected
  * @param verdicts null where there was no such load
  * @param budget null where there was none
  * @param faults in the order of the scenario
  */
 public record FleetResult(String time, int members, double steadyS, Traffic steady, long steadyFalseDeaths,
-        Verdicts verdicts, Budget budget, List<FaultResult> faults, Machine machine) {
+        long steadyFalseSuspicions, Verdicts verdicts, Budget budget, List<FaultResult> faults,
+        Machine machine) {
 
     /**
      * Verdicts written by members at random.
--- a/src/main/java/larkworks/scale/FleetRun.java
+++ b/src/main/java/larkworks/scale/FleetRun.java
@@ -43,6 +43,7 @@
         double cpuEachUs = (threads.getCurrentThreadCpuTime() - cpuNs) / 1e3 / size / scenario.steadyS();
         Traffic steady = fleet.traffic(scenario.steadyS());
         long falseDeaths = fleet.falseDeaths();
+        long falseSuspicions = fleet.falseSuspicions();
         FleetResult.Verdicts heard = verdicts == null ? null : verdicts.result();
         FleetResult.Budget spent = budget == null ? null : budget.result();
         if (verdicts != null) {
@@ -59,8 +60,8 @@
             progress.accept(size + " members: " + fault.name() + ", converged after "
                     + faults.get(faults.size() - 1).convergedS() + " s");
         }
-        return new FleetResult("simulated", size, scenario.steadyS(), steady, falseDeaths, heard, spent,
-                faults, new FleetResult.Machine(cpuEachUs, heapEach));
+        return new FleetResult("simulated", size, scenario.steadyS(), steady, falseDeaths,
+                falseSuspicions, heard, spent, faults, new FleetResult.Machine(cpuEachUs, heapEach));
     }
 
     private FleetResult.FaultResult run(FleetSimulation fleet, Fault fault) {
--- a/src/main/java/larkworks/scale/FleetSimulation.java
+++ b/src/main/java/larkworks/scale/FleetSimulation.java
@@ -19,6 +19,8 @@
 
     private static final long START_US = 1_800_000_000_000_000L;
     private static final long SECOND_US = 1_000_000;
+    /** All processes start within this time: less than a probe's time-out, so none is missed. */
+    private static final long START_SPREAD_US = 150_000;
     /** As in {@link larkworks.fleet.FleetMember}: ticks a probe period, and the least where shared. */
     private static final int TICKS = 20;
     private static final long SHARED_TICK_US = 10_000;
@@ -37,6 +39,7 @@
     private BitSet cut;
     private long deaths;
     private long falseDeaths;
+    private long falseSuspicions;
     private Histogram detections = Distribution.histogram();
     private long second;
     private long secondBytes;
@@ -81,21 +84,23 @@
     }
 
     boolean up(int id) {
-        return views.up(id) && members[id].kept == null;
+        return views.up(id) && members[id] != null && members[id].kept == null;
     }
 
     void carry(VerdictLoad load) {
         verdicts = load;
     }
 
+    /** Starts a member soon; it is made just then, as its first probe's time runs from that moment. */
     private void start(int id) {
-        HollowMember member = new HollowMember(id, size, scenario.membership(), scenario.shared(), servers,
-                new Random(seed * 1_000_003 + id * 31L + time.nowUs()), time::nowUs, counters[id], this);
-        members[id] = member;
         long tickUs = Math.min(scenario.membership().probeIntervalUs() / TICKS,
                 scenario.shared() == null ? Long.MAX_VALUE : SHARED_TICK_US);
-        // Processes don't start in the same microsecond: each has its own phase within a probe period.
-        time.after((long) (random.nextDouble() * scenario.membership().probeIntervalUs()), () -> {
+        time.after((long) (random.nextDouble() * START_SPREAD_US), () -> {
+            Random own = new Random(seed * 1_000_003 + id * 31L + time.nowUs());
+            HollowMember member = new HollowMember(id, size, scenario.membership(), scenario.shared(),
+                    servers, own, time::nowUs, counters[id], this);
+            members[id] = member;
+            views.set(id, true);
             member.join();
             tick(member, tickUs);
         });
@@ -145,7 +150,7 @@
     }
 
     private void deliver(HollowMember.Datagram datagram, int to) {
-        if (!views.up(to) || cut != null && cut.get(datagram.from()) != cut.get(to)) {
+        if (!views.up(to) || members[to] == null || cut != null && cut.get(datagram.from()) != cut.get(to)) {
             return;
         }
         HollowMember member = members[to];
@@ -164,6 +169,9 @@
             return;
         }
         views.hold(observer.id, about, to);
+        if (to == MemberState.SUSPECT && views.up(about) && !disturbed.get(about)) {
+            falseSuspicions++;
+        }
         if (to != MemberState.DEAD) {
             return;
         }
@@ -193,10 +201,7 @@
             case KILL -> chosen.forEach(id -> down(id, false));
             case RESTART -> chosen.forEach(id -> {
                 down(id, true);
-                time.after(forUs, () -> {
-                    views.set(id, true);
-                    start(id);
-                });
+                time.after(forUs, () -> start(id));
             });
             case PAUSE -> chosen.forEach(id -> {
                 disturbed.set(id);
@@ -245,6 +250,7 @@
         }
         deaths = 0;
         falseDeaths = 0;
+        falseSuspicions = 0;
         detections = Distribution.histogram();
         mostSecondBytes = 0;
     }
@@ -272,6 +278,10 @@
         return falseDeaths;
     }
 
+    long falseSuspicions() {
+        return falseSuspicions;
+    }
+
     /** Payload of the busiest second, a member. */
     double mostBytesPerS() {
         return (double) mostSecondBytes / size;
--- a/src/main/java/larkworks/scale/ListRun.java
+++ b/src/main/java/larkworks/scale/ListRun.java
@@ -204,29 +204,37 @@
                 .collect(Collectors.joining(",")) + "],\"bake_ms\":" + scenario.rollout().bakeMs()
                 + ",\"wait_ms\":600000,\"max_error_share\":0.9,\"min_requests\":0}";
         long begun = System.nanoTime();
-        ServiceConnection.Client publisher = new ServiceConnection.Client() {
-            private final ServiceConnection connection = new ServiceConnection(loop, local(3, 0), address,
-                    new ServiceConnection.Bytes(), this);
+        onLoop(() -> new Publisher(address, plan));
+        boolean all = await(() -> reporters.stream().allMatch(reporter -> reporter.version() > 0));
+        return all ? since(begun) : -1;
+    }
 
-            @Override
-            public void connected() {
-                connection.put("/registry/v1/rollout", plan);
-            }
+    /** Publishes a rollout; made on the loop. */
+    private final class Publisher implements ServiceConnection.Client {
+        private final String plan;
+        private final ServiceConnection connection;
 
-            @Override
-            public void answered(ServiceConnection.Answer answer) {
-                progress.accept("rollout published: " + answer.status() + " " + answer.head());
-                connection.close();
-            }
+        Publisher(InetSocketAddress address, String plan) throws UnknownHostException {
+            this.plan = plan;
+            connection = new ServiceConnection(loop, local(3, 0), address, new ServiceConnection.Bytes(),
+                    this);
+        }
 
-            @Override
-            public void lost() {
-                progress.accept("the rollout could not be published");
-            }
-        };
-        boolean all = await(() -> publisher != null
-                && reporters.stream().allMatch(reporter -> reporter.version() > 0));
-        return all ? since(begun) : -1;
+        @Override
+        public void connected() {
+            connection.put("/registry/v1/rollout", plan);
+        }
+
+        @Override
+        public void answered(ServiceConnection.Answer answer) {
+            progress.accept("rollout published: " + answer.status() + " " + answer.head());
+            connection.close();
+        }
+
+        @Override
+        public void lost() {
+            progress.accept("the rollout could not be published");
+        }
     }
 
     private ListResult.ListFault fault(Fault fault) throws Exception {
