--- a/src/main/java/larkworks/scale/HollowReporter.java
+++ b/src/main/java/larkworks/scale/HollowReporter.java
@@ -18,6 +18,22 @@
         long due;
         long answered;
         long failed;
+
+        /** Counts anew. */
+        Void clear() {
+            answers = Distribution.histogram();
+            due = 0;
+            answered = 0;
+            failed = 0;
+            bytes.sent = 0;
+            bytes.received = 0;
+            return null;
+        }
+
+        /** Above TCP, of a report and its answer. */
+        double bytesEach() {
+            return (bytes.sent + bytes.received) / (double) Math.max(1, answered);
+        }
     }
 
     private static final Pattern TARGET = Pattern.compile("\\{\"version\":(\\d+)");
--- a/src/main/java/larkworks/scale/ListResult.java
+++ b/src/main/java/larkworks/scale/ListResult.java
@@ -48,9 +48,11 @@
      * @param rolloutCores the service's processor time while a rollout was under way
      * @param inForceS from the rollout's publishing until all were told its version; negative
      *     where that did not come within the limit
+     * @param bytesEachAfter as {@code bytesEach}, once the rollout is in force
      */
     public record Reports(Distribution answerMs, double reportsPerS, double wantedPerS, long failed,
-            double bytesEach, double serviceCores, double rolloutCores, double inForceS) { }
+            double bytesEach, double serviceCores, double rolloutCores, double inForceS,
+            double bytesEachAfter) { }
 
     /**
      * A fault.
--- a/src/main/java/larkworks/scale/ListRun.java
+++ b/src/main/java/larkworks/scale/ListRun.java
@@ -166,15 +166,7 @@
         });
         // Until all have reported once: the service admits nobody to a rollout in its first seconds.
         pause(Math.max(4, 2 * scenario.reportMs() / 1e3));
-        onLoop(() -> {
-            reported.answers = Distribution.histogram();
-            reported.due = 0;
-            reported.answered = 0;
-            reported.failed = 0;
-            reported.bytes.sent = 0;
-            reported.bytes.received = 0;
-            return null;
-        });
+        onLoop(reported::clear);
         double cpu = service.figures().cpuS();
         long begun = System.nanoTime();
         pause(scenario.steadyS());
@@ -182,19 +174,22 @@
         double cores = (service.figures().cpuS() - cpu) / seconds;
         ListResult.Reports figures = onLoop(() -> new ListResult.Reports(Distribution.of(reported.answers),
                 reported.answered / seconds, reported.due / seconds, reported.failed,
-                (reported.bytes.sent + reported.bytes.received) / (double) Math.max(1, reported.answered),
-                cores, 0, 0));
+                reported.bytesEach(), cores, 0, 0, 0));
         cpu = service.figures().cpuS();
         begun = System.nanoTime();
         double inForceS = rollOut(address, reporters);
         double rolloutCores = (service.figures().cpuS() - cpu) / since(begun);
+        onLoop(reported::clear);
+        pause(scenario.steadyS() / 2);
+        double bytesEachAfter = onLoop(reported::bytesEach);
         onLoop(() -> {
             reporters.forEach(HollowReporter::close);
             return null;
         });
         progress.accept(watchers + " watches: rollout in force after " + inForceS + " s");
         return new ListResult.Reports(figures.answerMs(), figures.reportsPerS(), figures.wantedPerS(),
-                figures.failed(), figures.bytesEach(), figures.serviceCores(), rolloutCores, inForceS);
+                figures.failed(), figures.bytesEach(), figures.serviceCores(), rolloutCores, inForceS,
+                bytesEachAfter);
     }
 
     private double rollOut(InetSocketAddress address, List<HollowReporter> reporters) throws Exception {
--- a/src/main/java/larkworks/scale/ScaleResult.java
+++ b/src/main/java/larkworks/scale/ScaleResult.java
@@ -100,6 +100,8 @@
                     r -> r.reports().serviceCores());
             add(slopes, "service's cores, a rollout under way", WATCHES, lists, ListResult::watchers,
                     r -> r.reports().rolloutCores());
+            add(slopes, "bytes of a report once a rollout is in force", WATCHES, lists, ListResult::watchers,
+                    r -> r.reports().bytesEachAfter());
             add(slopes, "s until a rollout is in force", WATCHES, lists, ListResult::watchers,
                     r -> r.reports().inForceS());
         }
