Wait for restarted members before a fault counts as over

53 restarts came out as agreed upon after 0.0 s: the last member was still away. Test: FleetScaleTest.aFaultIsOverOnlyOnceAllThatLeftAreBack, which fails without (converged after 0.0 s).

--- a/src/main/java/larkworks/scale/FleetSimulation.java
+++ b/src/main/java/larkworks/scale/FleetSimulation.java
@@ -37,6 +37,7 @@
     private final BitSet disturbed = new BitSet();
     private final long[] downSinceUs;
     private BitSet cut;
+    private int starting;
     private long deaths;
     private long falseDeaths;
     private long falseSuspicions;
@@ -95,7 +96,9 @@
     private void start(int id) {
         long tickUs = Math.min(scenario.membership().probeIntervalUs() / TICKS,
                 scenario.shared() == null ? Long.MAX_VALUE : SHARED_TICK_US);
+        starting++;
         time.after((long) (random.nextDouble() * START_SPREAD_US), () -> {
+            starting--;
             Random own = new Random(seed * 1_000_003 + id * 31L + time.nowUs());
             HollowMember member = new HollowMember(id, size, scenario.membership(), scenario.shared(),
                     servers, own, time::nowUs, counters[id], this);
@@ -201,7 +204,11 @@
             case KILL -> chosen.forEach(id -> down(id, false));
             case RESTART -> chosen.forEach(id -> {
                 down(id, true);
-                time.after(forUs, () -> start(id));
+                starting++;
+                time.after(forUs, () -> {
+                    starting--;
+                    start(id);
+                });
             });
             case PAUSE -> chosen.forEach(id -> {
                 disturbed.set(id);
@@ -231,8 +238,9 @@
 
     // ---- figures
 
+    /** Whether all that should be up are, and all of them hold the truth. */
     boolean agreed() {
-        return views.wrong() == 0;
+        return starting == 0 && views.wrong() == 0;
     }
 
     /** Faults done so far explain no death from now on. */
--- a/src/test/java/larkworks/scale/FleetScaleTest.java
+++ b/src/test/java/larkworks/scale/FleetScaleTest.java
@@ -107,6 +107,13 @@
         }
     }
 
+    @Test
+    void aFaultIsOverOnlyOnceAllThatLeftAreBack() {
+        FaultResult restarts = new FleetRun(scenario(10, 1, 0, null, NONE,
+                fault(Fault.Kind.RESTART, Topology.Scope.ONE, 2)), 1, line -> { }).run(50).faults().get(0);
+        assertTrue(restarts.converged() && restarts.convergedS() > 0, restarts.toString());
+    }
+
     @Test
     void theSameSeedGivesTheSameResult() throws IOException {
         Scenario scenario = new Scenario("s", 3, new FleetScenario(List.of(20, 40), new Topology(2, 5, 10),
