--- a/src/main/java/larkworks/scale/PathRun.java
+++ b/src/main/java/larkworks/scale/PathRun.java
@@ -144,6 +144,7 @@
                 .redirectOutput(folder.resolve("proxy.log").toFile());
         builder.environment().put("GW_CONFIG", config.toString());
         proxy = builder.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(proxy::destroyForcibly));
         for (int tries = 0; tries < 10 * READY_S; tries++) {
             if (!proxy.isAlive()) {
                 break;
--- a/src/main/java/larkworks/scale/ServiceProcess.java
+++ b/src/main/java/larkworks/scale/ServiceProcess.java
@@ -28,6 +28,8 @@
     ServiceProcess(Path data, int heapMb) {
         this.data = data;
         this.heapMb = heapMb;
+        // A run that is ended before its time must not leave the service behind.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
     /** Starts it, at the address that it had before, and waits until it serves. */
