Write simulated verdicts at random times, out of step with the rounds of gossip

One a second to the microsecond fell in step with the rounds in which all registers go again, one a second too: 1,541 bytes a member a second or 1,244, by the phase of the start (trials with 1,400 members).

--- a/src/main/java/larkworks/scale/VerdictLoad.java
+++ b/src/main/java/larkworks/scale/VerdictLoad.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import org.HdrHistogram.Histogram;
 
-/** Verdicts written at random members at a steady rate, and when each other member hears of them. */
+/** Verdicts written at random members and times, and when each other member hears of them. */
 final class VerdictLoad {
 
     private static final class Written {
@@ -34,8 +34,10 @@
         next();
     }
 
+    /** At random, as a Poisson process: an even rate would fall in step with the rounds of gossip. */
     private void next() {
-        fleet.time().after((long) (1e6 / load.verdictsPerS()), () -> {
+        double meanUs = 1e6 / load.verdictsPerS();
+        fleet.time().after((long) (-meanUs * Math.log(1 - fleet.random().nextDouble())), () -> {
             if (running) {
                 write();
                 next();
