--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -874,7 +874,7 @@
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             // Most often a reset by the client; channelInactive follows and ends what it asked for.
             if (!(cause instanceof IOException)) {
-                System.err.println("client connection: " + cause);
+                LOG.atError().setCause(cause).log("a client's connection failed");
             }
             cut();
         }
