Make the first call to an asked discovery a watch from the version in the configuration

Each proxy made two calls at its start, one for the whole list, answered at once with the old list, and a watch. Discovery handles calls in turn, and what counts as told goes by that turn: where the turn of the whole list came after the change, the proxy counted as told of it with nothing on its way. The watch behind it got 503, as the queue was full.

Change: where lists are asked for and the configuration holds a whole list, the first call is a watch from its version, so that one call a proxy stands in the queue and it is open when its turn tells. With a second address (the start waits for a whole list there) and where lists are pushed nothing changes.

Tests: both new ones in DiscoveryTermsTest fail without it (the first line is GET /registry/instances).

--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -91,7 +91,7 @@
     /** The call to come after a pause; null where none was put off yet. */
     private Future<?> next;
     /** The version held; negative where the whole list is wanted. */
-    private volatile long index = -1;
+    private volatile long index;
     /** Which data the list held is of, as the service tells; null where it doesn't. */
     private String epoch;
     private final long mostPauseMs;
@@ -123,6 +123,7 @@
         this.sockets = sockets;
         this.driver = driver;
         this.settled = asked;
+        this.index = firstIndex(config);
         this.unsureUs = asked ? Long.MAX_VALUE : driver.clock().nowUs();
         // With a grace of drains shorter than the pause, word of one could come only once that is over.
         this.mostPauseMs = Math.max(FIRST_PAUSE_MS, Math.min(MOST_PAUSE_MS,
@@ -130,6 +131,17 @@
         driver.onWatch(this::call);
     }
 
+    /**
+     * The version to ask from at first. Where lists are asked for, it is that of the list in the configuration:
+     * calls wait in turn at a slow discovery, and one for the whole list has the watch wait behind it, with no
+     * watch open when the first changes are told. With a second address the start waits for a whole list.
+     */
+    private static long firstIndex(Config config) {
+        Listing known = config.known();
+        return config.settings().watch() && config.admin() == null && known != null && known.whole()
+                ? known.index() : -1;
+    }
+
     void start() {
         if (!asked) {
             call();
--- a/src/test/java/larkworks/proxy/DiscoveryTermsTest.java
+++ b/src/test/java/larkworks/proxy/DiscoveryTermsTest.java
@@ -101,6 +101,34 @@
         }
     }
 
+    /** Where calls wait in turn, a drain right after the start is told on the only call there is yet. */
+    @Test
+    void watchesFromTheListInItsConfigurationWhereListsAreAskedFor() throws Exception {
+        try (Bench bench = new Bench(2)) {
+            bench.mode = "on_request";
+            bench.start(folder, bench.all(7));
+            Peer.Message first = afterTaking(bench, 7);
+            first.reply(200, Bench.list(8, false, bench.entry(0, "terminating")));
+            afterTaking(bench, 8);
+            assertServedBy(bench, 1);
+        }
+    }
+
+    /** The version in the configuration may be one that discovery doesn't know any more. */
+    @Test
+    void asksForTheWholeListWhereTheVersionInItsConfigurationIsRefused() throws Exception {
+        try (Bench bench = new Bench(2)) {
+            bench.mode = "on_request";
+            bench.start(folder, bench.all(7));
+            afterTaking(bench, 7).reply(404, "");
+            Peer.Message whole = bench.discovery.next();
+            assertEquals("GET /registry/instances HTTP/1.1", whole.line());
+            whole.reply(200, drained(bench, 2));
+            afterTaking(bench, 2);
+            assertServedBy(bench, 1);
+        }
+    }
+
     /** Calls wait in turn at discovery, so that each answer takes long; one must be waited for. */
     @ParameterizedTest
     @ValueSource(strings = {"pushed", "on_request"})
