Cut a torn last entry from a replica's log before the engine starts

Cause: a write that a kill or a full disk cuts short leaves the beginning of an entry and, in the preallocated file, zeros behind it. Ratis takes that for damage ("Calculated checksum is ... but read checksum is") and did not start, so a replica whose disk had been full could not come back; it depended on where the write was cut. Its other policy, WARN_AND_RETURN, passes over damage anywhere.

Change: LogCheck reads the segments first, and truncates the last open one where it ends in the beginning of an entry with nothing or only zeros behind it. Such an entry was never synced, so never acknowledged. Anything else that can't be read is refused, naming file and byte, and the file is left as it is: a wrong entry that is there to its end, one with a sound entry behind it, any in an earlier segment.

--- a/src/main/java/larkworks/registry/RaftNode.java
+++ b/src/main/java/larkworks/registry/RaftNode.java
@@ -44,6 +44,8 @@
     private static final long MOST_PREALLOCATED = 256 << 10;
     /** A process that was stopped for long comes back as a follower that is behind. */
     private static final int MOST_PAUSE_DAYS = 1;
+    /** Below the group's directory: where the engine keeps the log. */
+    private static final String CURRENT = "current";
 
     private static final RaftGroupId GROUP = RaftGroupId.valueOf(UUID.nameUUIDFromBytes(
             "larkworks registry".getBytes(StandardCharsets.US_ASCII)));
@@ -59,6 +61,8 @@
         settings.addresses().forEach((id, address) -> addresses.put(id, Addresses.text(address)));
         group = RaftGroup.valueOf(GROUP, peers(addresses));
         configure(settings, data);
+        LogCheck.mend(data.resolve(GROUP.getUuid().toString()).resolve(CURRENT),
+                RaftServerConfigKeys.Log.Appender.bufferByteLimit(properties).getSize());
         server = RaftServer.newBuilder().setServerId(RaftPeerId.valueOf(settings.id()))
                 .setGroup(settings.join() ? RaftGroup.valueOf(GROUP) : group)
                 .setProperties(properties).setStateMachine(machine)
--- a/src/test/java/larkworks/registry/ReplicaProcessTest.java
+++ b/src/test/java/larkworks/registry/ReplicaProcessTest.java
@@ -1,11 +1,13 @@
 package larkworks.registry;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import larkworks.Program;
@@ -89,6 +91,57 @@
         }
     }
 
+    /**
+     * An entry it never acknowledged, cut off behind its length, in its body and in its checksum; with zeros
+     * behind, as in a preallocated file, or nothing.
+     */
+    @Test
+    void aReplicaWhoseLastLogEntryIsTornStartsAndCatchesUp() throws Exception {
+        try (Replicas replicas = new Replicas(folder, 3, "")) {
+            String torn = replicas.others(replicas.awaitLeader(replicas.ids())).get(0);
+            for (int round = 0; round < 6; round++) {
+                register(replicas.caller(torn), round);
+                replicas.awaitSame(replicas.ids());
+                replicas.kill(torn);
+                OpenSegment segment = OpenSegment.under(replicas.data(torn));
+                int length = segment.end() - segment.last();
+                segment.writePart(List.of(1, length / 2, length - 2).get(round / 2), round % 2 == 0);
+                register(replicas.caller(replicas.others(torn).get(0)), 10 + round);
+                replicas.start(torn, "");
+                replicas.program(torn).logged("torn entry cut from the end of the log");
+                Caller.Answer after = replicas.awaitSame(replicas.ids());
+                assertTrue(after.endpoints().containsAll(List.of("n" + round + " in_service",
+                        "n" + (10 + round) + " in_service")), () -> after.endpoints().toString());
+            }
+        }
+    }
+
+    private static void register(Caller caller, int number) throws IOException, InterruptedException {
+        Caller.Answer answer = caller.register("n" + number, "10.0.0.1:" + (1 + number), "");
+        assertEquals(200, answer.status(), answer::error);
+    }
+
+    @Test
+    void aReplicaWhoseLogIsDamagedInTheMiddleDoesNotStartAndNamesTheFile() throws Exception {
+        try (Replicas replicas = new Replicas(folder, 3, "")) {
+            String hurt = replicas.others(replicas.awaitLeader(replicas.ids())).get(0);
+            for (int i = 0; i < 5; i++) {
+                register(replicas.caller(hurt), i);
+            }
+            replicas.awaitSame(replicas.ids());
+            replicas.kill(hurt);
+            OpenSegment segment = OpenSegment.under(replicas.data(hurt));
+            segment.change((OpenSegment.HEADER + segment.last()) / 2);
+            byte[] left = Files.readAllBytes(segment.file());
+            replicas.launch(hurt, "");
+            Program refused = replicas.program(hurt);
+            Program.await(30, refused.lines::toString, () -> !refused.process.isAlive()
+                    && refused.lines.toString().contains(segment.file() + ": damaged at byte "));
+            assertNotEquals(0, refused.process.exitValue());
+            assertArrayEquals(left, Files.readAllBytes(segment.file()), "left for the operator");
+        }
+    }
+
     @Test
     void leasesOutliveTheLeaderByTheirFullTimeAndEndThroughTheLog() throws Exception {
         try (Replicas replicas = new Replicas(folder, 3, "")) {
--- a/src/test/java/larkworks/registry/Replicas.java
+++ b/src/test/java/larkworks/registry/Replicas.java
@@ -122,7 +122,8 @@
         await(id);
     }
 
-    private void launch(String id, String shell) throws IOException {
+    /** The same, without waiting until it serves. */
+    void launch(String id, String shell) throws IOException {
         StringBuilder toml = new StringBuilder("[replicas]\nid = \"" + id + "\"\nlisten = \"127.0.0.1:"
                 + ports.get(id) + "\"\n" + settings + (joined.contains(id) ? "join = true" : "")
                 + "\n[replicas.addresses]\n");
