--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -140,9 +140,10 @@
     }
 
     /**
-     * The version to ask from at first. Where lists are asked for, it is that of the list in the configuration:
-     * calls wait in turn at a slow discovery, and one for the whole list has the watch wait behind it, with no
-     * watch open when the first changes are told. With a second address the start waits for a whole list.
+     * The version to ask from at first. Where lists are asked for, it is that of the list in the
+     * configuration: calls wait in turn at a slow discovery, and one for the whole list has the watch wait
+     * behind it, with no watch open when the first changes are told. With a second address the start waits
+     * for a whole list.
      */
     private static long firstIndex(Config config) {
         Listing known = config.known();
