Listen for the list service's callers in one place, replicas and single process alike

Both did the same bind, wait and failure; RegistryServer.listen now does it and tells the address. Behaviour unchanged: RegistryTest, ReplicatedRegistryTest, BadInputTest and LarkworksTest pass.

--- a/src/main/java/larkworks/registry/Registry.java
+++ b/src/main/java/larkworks/registry/Registry.java
@@ -66,13 +66,12 @@
         service = new ListService(loop, store, settings.admission());
         server = new RegistryServer(loop, service);
         loop.submit(service::start).sync();
-        var bound = server.listen(settings.listen()).await();
-        if (!bound.isSuccess()) {
+        try {
+            address = server.listen(settings.listen());
+        } catch (IOException e) {
             close();
-            throw new IOException("can't listen at " + settings.listen() + ": " + bound.cause().getMessage(),
-                    bound.cause());
+            throw e;
         }
-        address = (InetSocketAddress) bound.channel().localAddress();
         LOG.atInfo().addKeyValue("address", Addresses.text(address))
                 .addKeyValue("index", store.catalog().index())
                 .addKeyValue("instances", store.catalog().size())
--- a/src/main/java/larkworks/registry/RegistryServer.java
+++ b/src/main/java/larkworks/registry/RegistryServer.java
@@ -30,6 +30,7 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.List;
@@ -94,7 +95,13 @@
         open = new DefaultChannelGroup(loop);
     }
 
-    ChannelFuture listen(InetSocketAddress address) {
+    /**
+     * Listens for callers.
+     *
+     * @return where it listens
+     * @throws IOException where the address can't be had; the message is the operator's
+     */
+    InetSocketAddress listen(InetSocketAddress address) throws IOException, InterruptedException {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -108,7 +115,12 @@
                     }
                 }).bind(address);
         listener = bound.channel();
-        return bound;
+        bound.await();
+        if (!bound.isSuccess()) {
+            throw new IOException("can't listen at " + address + ": " + bound.cause().getMessage(),
+                    bound.cause());
+        }
+        return (InetSocketAddress) listener.localAddress();
     }
 
     /** Ends: no new connections, then the ones there are. */
--- a/src/main/java/larkworks/registry/ReplicatedRegistry.java
+++ b/src/main/java/larkworks/registry/ReplicatedRegistry.java
@@ -53,13 +53,12 @@
         }
         lock = held;
         loop.submit(() -> service.start(node)).sync();
-        var bound = server.listen(settings.listen()).await();
-        if (!bound.isSuccess()) {
+        try {
+            address = server.listen(settings.listen());
+        } catch (IOException e) {
             close();
-            throw new IOException("can't listen at " + settings.listen() + ": " + bound.cause().getMessage(),
-                    bound.cause());
+            throw e;
         }
-        address = (InetSocketAddress) bound.channel().localAddress();
         LOG.atInfo().addKeyValue("address", Addresses.text(address))
                 .addKeyValue("replica", replica.id()).log("serving");
     }
