Put addresses into words by Addresses.text, which stood there already

Four classes of the proxy wrote host and port together by themselves, one of them new with HealthProbes; its giving up also took an outcome that was always a time-out. Behaviour is unchanged.

--- a/src/main/java/larkworks/proxy/Adoption.java
+++ b/src/main/java/larkworks/proxy/Adoption.java
@@ -32,6 +32,7 @@
 import larkworks.Balancer.RequestClass;
 import larkworks.Balancer.Settings;
 import larkworks.Balancer.Tenant;
+import larkworks.platform.Addresses;
 import larkworks.platform.ConfigFile.Unusable;
 import larkworks.rollout.Report;
 import larkworks.rollout.Rollouts;
@@ -122,7 +123,7 @@
                 driver.requestsFailed(), refused, why, driver.resting()));
         var call = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.PUT,
                 "/registry/v1/rollout/reports/" + name, Unpooled.wrappedBuffer(body));
-        call.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort())
+        call.headers().set(HttpHeaderNames.HOST, Addresses.text(address))
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
                 .setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
         channel.writeAndFlush(call);
--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.TimeUnit;
 import larkworks.Balancer.ListKind;
 import larkworks.adapter.Json;
+import larkworks.platform.Addresses;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -308,7 +309,7 @@
                 index < 0 ? PATH : PATH + "?index=" + index + "&wait="
                         + (behind ? CATCH_UP_WAIT_MS : WAIT_MS), Unpooled.EMPTY_BUFFER);
         InetSocketAddress address = addresses.get(at);
-        request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+        request.headers().set(HttpHeaderNames.HOST, Addresses.text(address));
         to.writeAndFlush(request);
     }
 
--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -30,6 +30,7 @@
 import larkworks.Balancer.Settings;
 import larkworks.Balancer.Verdict;
 import larkworks.Logic;
+import larkworks.platform.Addresses;
 import larkworks.shared.SharedState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -767,7 +768,7 @@
                         Unpooled.wrappedBuffer(in.body()))
                 : new Upload.Head(HttpVersion.HTTP_1_1, in.method(), in.uri(), in.upload());
         HttpHeaders headers = message.headers();
-        headers.set(HttpHeaderNames.HOST, host(backend.address));
+        headers.set(HttpHeaderNames.HOST, Addresses.text(backend.address));
         headers.set("X-Call-Id", in.callId());
         headers.set("X-Call-Class", settings.classes().get(in.requestClass()).name());
         headers.set("X-Budget-Ms", leftMs);
@@ -791,10 +792,6 @@
                 >= backend.downSinceUs + settings.rules().drainGraceUs() - GRACE_MARGIN_US;
     }
 
-    private static String host(InetSocketAddress address) {
-        return address.getHostString() + ":" + address.getPort();
-    }
-
     private void refuse(String request, long retryAfterUs) {
         PendingRequest pending = requests.get(request);
         if (pending != null && !pending.answered()) {
--- a/src/main/java/larkworks/proxy/HealthProbes.java
+++ b/src/main/java/larkworks/proxy/HealthProbes.java
@@ -16,6 +16,7 @@
 import java.util.function.BooleanSupplier;
 import larkworks.Balancer.LoadReport;
 import larkworks.Balancer.Outcome;
+import larkworks.platform.Addresses;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -84,7 +85,7 @@
     void send(String server, InetSocketAddress address, BooleanSupplier barred, Listener listener) {
         Probe probe = new Probe(server, listener, clock.nowUs());
         out.add(probe);
-        probe.timeout = loop.schedule(() -> giveUp(probe, Outcome.TIMEOUT), PROBE_US, TimeUnit.MICROSECONDS);
+        probe.timeout = loop.schedule(() -> timedOut(probe), PROBE_US, TimeUnit.MICROSECONDS);
         try {
             probe.exchange = pool.begin(address, () -> barred.getAsBoolean() ? null : message(address),
                     answer -> ended(probe, answer));
@@ -104,15 +105,15 @@
         }
     }
 
-    private void giveUp(Probe probe, Outcome outcome) {
+    private void timedOut(Probe probe) {
         probe.exchange.abandon();
-        ended(probe, Answer.of(outcome));
+        ended(probe, Answer.of(Outcome.TIMEOUT));
     }
 
     private FullHttpRequest message(InetSocketAddress address) {
         FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                 loadReports ? "/stats" : "/health/live", Unpooled.EMPTY_BUFFER);
-        message.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+        message.headers().set(HttpHeaderNames.HOST, Addresses.text(address));
         return message;
     }
 
