--- /dev/null
+++ b/src/test/java/larkworks/soak/History.java
@@ -0,0 +1,103 @@
+package larkworks.soak;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What happened in a run: who sent, received, answered and closed what, and when, in microseconds of one
+ * monotonic clock. Written by the soak's one loop; judged by {@link Checker} afterwards.
+ */
+final class History {
+
+    /** Marks a time at which something has not happened. */
+    static final long NEVER = Long.MAX_VALUE;
+
+    /** What a request may do when it is run twice. */
+    enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** What a server did about an attempt, so far as it tells whether the request ran. */
+    enum Ran { MAYBE, NEVER }
+
+    /** An attempt that arrived whole at a server. */
+    record Attempt(String server, long firstByteUs, long wholeUs, long toldMs, Ran ran) { }
+
+    /** A request as its client saw it. */
+    static final class Request {
+        final String id;
+        final Effect effect;
+        final int proxy;
+        final long budgetUs;
+        /** Whether no request went before it on its connection. */
+        final boolean firstOnConnection;
+        /** When its last byte was given to the system; {@link #NEVER} where the client never sent it whole. */
+        long sentUs = NEVER;
+        long firstSentUs;
+        long clientLeftUs = NEVER;
+        long answeredUs = NEVER;
+        int status;
+        int answers;
+        String body = "";
+        /** When the proxy ended the connection with no answer to this request. */
+        long cutOffUs = NEVER;
+        /** Whether the answer had begun when it was cut off: the client can tell that it is not whole. */
+        boolean answerBegun;
+        final List<Attempt> attempts = new ArrayList<>();
+        final Set<String> bodies = new HashSet<>();
+
+        Request(String id, Effect effect, int proxy, long budgetUs, boolean firstOnConnection) {
+            this.id = id;
+            this.effect = effect;
+            this.proxy = proxy;
+            this.budgetUs = budgetUs;
+            this.firstOnConnection = firstOnConnection;
+        }
+    }
+
+    /** A process of a proxy. */
+    static final class ProxyLife {
+        final int proxy;
+        final long startedUs;
+        long readyUs = NEVER;
+        /** When it was told to end by SIGTERM. */
+        long toldToEndUs = NEVER;
+        /** When it was killed by SIGKILL. */
+        long killedUs = NEVER;
+        long endedUs = NEVER;
+
+        ProxyLife(int proxy, long startedUs) {
+            this.proxy = proxy;
+            this.startedUs = startedUs;
+        }
+    }
+
+    /** Something that a client sent which is no request, and until when it was owed an error or a close. */
+    record BadPeer(int proxy, long dueUs, long endedUs, String what) { }
+
+    /** A span of time in which one side stood still, which what it did then is excused by. */
+    record Pause(int proxy, long fromUs, long toUs) { }
+
+    /** When a proxy counts as told that a server drains or is gone. */
+    record Told(int proxy, String server, long atUs) { }
+
+    /** A server's start, told by the list, with the requests it bears when warm. */
+    record ColdStart(String server, long startedUs) { }
+
+    private final long startNanos = System.nanoTime();
+    final Map<String, Request> requests = new HashMap<>();
+    final List<ProxyLife> lives = new ArrayList<>();
+    final List<BadPeer> badPeers = new ArrayList<>();
+    final List<Pause> pauses = new ArrayList<>();
+    final List<Told> told = new ArrayList<>();
+    /** Spans in which the soak's own loop was late. */
+    final List<Pause> lags = new ArrayList<>();
+    /** Attempts with an id that no client sent. */
+    final List<String> unknownAttempts = new ArrayList<>();
+
+    long nowUs() {
+        return (System.nanoTime() - startNanos) / 1000;
+    }
+}
--- /dev/null
+++ b/src/test/java/larkworks/soak/SoakSettings.java
@@ -0,0 +1,46 @@
+package larkworks.soak;
+
+import java.net.InetSocketAddress;
+
+/**
+ * How large a run is and what it allows.
+ *
+ * @param seed draws the troubles, the clients and the servers
+ * @param proxies processes
+ * @param servers behind them, each known to all proxies
+ * @param seconds that troubles and requests last
+ * @param perSecond requests of the clients of each proxy
+ * @param habits how the clients behave
+ * @param pushed whether discovery tells lists unasked
+ * @param probePrice as the settings name it
+ * @param troubles how many are drawn; 0 for none
+ */
+record SoakSettings(long seed, int proxies, int servers, int seconds, double perSecond,
+        SoakClient.Habits habits, boolean pushed, double probePrice, int troubles) {
+
+    static final long DRAIN_GRACE_US = 1_000_000;
+    static final long DEDUP_WINDOW_US = 4_000_000;
+    static final long LONGEST_DEADLINE_US = 2_000_000;
+    /** Limits in time have this slack on sockets. */
+    static final long SOCKET_SLACK_US = 50_000;
+
+    String configuration(int number, InetSocketAddress address, String discovery, String known) {
+        String kind = "{\"name\":\"%s\",\"effect\":\"%s\",\"group\":\"all\",\"goalTimeUs\":600000,"
+                + "\"deadlineUs\":" + LONGEST_DEADLINE_US + ",\"worth\":1.0,\"lateWorth\":0.5,"
+                + "\"dedupWindowUs\":" + DEDUP_WINDOW_US + "}";
+        return "{\"name\":\"n" + number + "\",\"listen\":\"" + address.getAddress().getHostAddress() + ":"
+                + address.getPort() + "\",\"discovery\":\"" + discovery + "\",\"seed\":\""
+                + Long.toHexString(seed * 31 + number) + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,"
+                + "\"sockets\":256},\"known\":" + known + ",\"settings\":{\"balancers\":" + proxies
+                + ",\"categories\":[" + String.format(kind, "look", "pure") + ","
+                + String.format(kind, "pay", "token") + "," + String.format(kind, "act", "side_effect")
+                + "],\"dcs\":[\"a\"],\"discovery\":\"" + (pushed ? "pushed" : "on_request")
+                + "\",\"fees\":{\"probe\":" + probePrice + "},\"limits\":{\"cancel\":true,"
+                + "\"connectTimeoutUs\":150000,\"keepaliveUs\":10000000,\"maxAttempts\":3,"
+                + "\"maxRetryAfterUs\":2000000,\"mayDuplicate\":true,\"probes\":true,\"retryAfter\":true},"
+                + "\"loadInfo\":{\"fields\":[\"inflight\"],\"how\":\"probe\"},\"locality\":0,\"me\":" + number
+                + ",\"overShareWorth\":1.0,\"resolutionUs\":1000,\"rules\":{\"askEveryUs\":3000000,"
+                + "\"coldFrom\":0.13,\"coldUs\":6000000,\"drainGraceUs\":" + DRAIN_GRACE_US
+                + ",\"overloadForUs\":1500000,\"tipMultiple\":3.0},\"tenants\":[]}}";
+    }
+}
