Go on accepting at once after a failed accept, also while the listener closes

Cause: Netty's ServerBootstrapAcceptor.exceptionCaught switches the listener off for a second after any failed accept, and Frontend.closeOnceEmpty gave up the whole queue at the first one. Same mistake looked for and mended: Admin, RegistryServer, AnsweringServer.

--- a/src/main/java/larkworks/proxy/Admin.java
+++ b/src/main/java/larkworks/proxy/Admin.java
@@ -12,7 +12,6 @@
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -33,6 +32,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import larkworks.adapter.Json;
+import larkworks.transport.TcpListener;
 
 /**
  * The operators' address: one call to a connection. It has descriptors of its own, so that clients can't
@@ -71,7 +71,7 @@
     }
 
     ChannelFuture listen(SocketAddress address) {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        return new ServerBootstrap().group(loop).channel(TcpListener.class)
                 .option(ChannelOption.SO_BACKLOG, 256)
                 // Few at a time, so that each is read before as many new ones push it out.
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(1)
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -14,8 +13,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.AbstractNioChannel.NioUnsafe;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -37,10 +34,7 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
-import java.nio.channels.ServerSocketChannel;
-import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -49,11 +43,14 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import larkworks.Balancer.Effect;
 import larkworks.Balancer.RequestClass;
 import larkworks.Balancer.Settings;
+import larkworks.transport.SystemError;
+import larkworks.transport.TcpListener;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -99,8 +96,8 @@
     private final Flow flow = new Flow();
     /** Connections whose last answer has gone, with the time that a silent client has. */
     private final LingeringClose lingering;
-    private Channel listener;
-    private ServerSocketChannel accepting;
+    private TcpListener listener;
+    private Consumer<SystemError> onAcceptFailure = error -> { };
     private int connections;
     private int heldBytes;
     /** Whether a connection is read out of its turn. */
@@ -130,10 +127,7 @@
      */
     ChannelFuture listen(SocketAddress address, boolean shared) {
         ServerBootstrap bootstrap = new ServerBootstrap().group(loop)
-                .channelFactory(() -> {
-                    accepting = open();
-                    return new NioServerSocketChannel(accepting);
-                })
+                .channelFactory(TcpListener::new)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -152,18 +146,25 @@
             bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
         }
         ChannelFuture bound = bootstrap.bind(address);
-        listener = bound.channel();
+        if (bound.channel() instanceof TcpListener listening) {
+            listener = listening;
+            listener.onFailure(this::acceptFailed);
+        }
         return bound;
     }
 
-    private static ServerSocketChannel open() {
-        try {
-            return ServerSocketChannel.open();
-        } catch (IOException e) {
-            throw new ChannelException("no socket to listen with", e);
+    private void acceptFailed(SystemError error, boolean persists) {
+        onAcceptFailure.accept(error);
+        if (persists && error == SystemError.EMFILE) {
+            sockets.freeOne();
         }
     }
 
+    /** Has each failed accept told. */
+    void onAcceptFailure(Consumer<SystemError> told) {
+        onAcceptFailure = told;
+    }
+
     /** From now on ready, while some backend could be sent a request. */
     void ready() {
         warm = true;
@@ -187,7 +188,7 @@
     /** Takes no further connections, but for those already in the listener's queue, which would be reset. */
     void stopListening() {
         if (listener != null && listener.isOpen()) {
-            listener.deregister().addListener(done -> closeOnceEmpty());
+            listener.drainAndClose();
         }
     }
 
@@ -209,27 +210,6 @@
         });
     }
 
-    /**
-     * While a selector knows the listener, the system closes it only some time after it was told to, with all
-     * that came meanwhile; so the selector forgets it first.
-     */
-    private void closeOnceEmpty() {
-        if (accepting.isRegistered()) {
-            loop.schedule(this::closeOnceEmpty, 1, TimeUnit.MILLISECONDS);
-            return;
-        }
-        List<SocketChannel> queue = new ArrayList<>();
-        try (ServerSocketChannel closing = accepting) {
-            for (SocketChannel next = closing.accept(); next != null; next = closing.accept()) {
-                queue.add(next);
-            }
-        } catch (IOException e) {
-            LOG.error("connections in the queue are lost", e);
-        }
-        queue.forEach(socket -> listener.pipeline().fireChannelRead(new NioSocketChannel(listener, socket)));
-        listener.close();
-    }
-
     /** What all requests together hold of bodies. */
     int heldBytes() {
         return heldBytes;
@@ -283,8 +263,8 @@
     }
 
     private void accept(boolean on) {
-        if (listener != null && listener.config().isAutoRead() != on) {
-            listener.config().setAutoRead(on);
+        if (listener != null) {
+            listener.suspend(!on);
         }
     }
 
--- a/src/main/java/larkworks/proxy/Sockets.java
+++ b/src/main/java/larkworks/proxy/Sockets.java
@@ -65,11 +65,16 @@
 
     /** Closes connections until fewer than so many are open, or none is left to close. */
     private void makeRoom(int bound) {
-        while (open >= bound && evictors.stream().anyMatch(BooleanSupplier::getAsBoolean)) {
+        while (open >= bound && freeOne()) {
             // Each turn closes one connection, whose closing calls release.
         }
     }
 
+    /** Closes the connection that can best be done without; false where none can. */
+    boolean freeOne() {
+        return evictors.stream().anyMatch(BooleanSupplier::getAsBoolean);
+    }
+
     /** Takes a socket for a connection to a backend; false where none is left. */
     boolean take() {
         makeRoom(mostForBackends);
--- a/src/main/java/larkworks/registry/RegistryServer.java
+++ b/src/main/java/larkworks/registry/RegistryServer.java
@@ -15,7 +15,6 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -40,6 +39,7 @@
 import java.util.function.Consumer;
 import larkworks.rollout.Plan;
 import larkworks.rollout.Report;
+import larkworks.transport.TcpListener;
 
 /**
  * The service's HTTP/1.1 side. Reads are PROTOCOL's "Discovery": {@code GET /registry/instances}, with
@@ -102,7 +102,7 @@
      * @throws IOException where the address can't be had; the message is the operator's
      */
     InetSocketAddress listen(InetSocketAddress address) throws IOException, InterruptedException {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap().group(loop).channel(TcpListener.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
--- a/src/main/java/larkworks/scale/AnsweringServer.java
+++ b/src/main/java/larkworks/scale/AnsweringServer.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -20,6 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import larkworks.transport.TcpListener;
 
 /** A hollow backend's service: it answers each call with 200 and a short body after a fixed time. */
 final class AnsweringServer {
@@ -37,7 +37,7 @@
     }
 
     ChannelFuture listen(InetSocketAddress address) {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        return new ServerBootstrap().group(loop).channel(TcpListener.class)
                 .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
