Do not take an interrupted read for the end of its connection

Cause: the JDK's SocketChannel.read returns IOStatus.INTERRUPTED (-3) where the system says EINTR, and Netty's NioByteUnsafe.read closes the channel on any negative number. TcpChannel reads again. Looked for elsewhere: writes of zero or less are tried again by Netty; accept, connect and poll handle EINTR in the JDK. All clients' and backends' connections, discovery, reports.

--- a/src/main/java/larkworks/proxy/Adoption.java
+++ b/src/main/java/larkworks/proxy/Adoption.java
@@ -14,7 +14,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -36,6 +35,7 @@
 import larkworks.platform.ConfigFile.Unusable;
 import larkworks.rollout.Report;
 import larkworks.rollout.Rollouts;
+import larkworks.transport.TcpChannel;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -100,7 +100,7 @@
         }
         next = loop.schedule(this::report, everyMs, TimeUnit.MILLISECONDS);
         InetSocketAddress address = addresses.get(at);
-        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        new Bootstrap().group(loop).channel(TcpChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) PATIENCE_MS)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -34,6 +34,7 @@
 import java.util.function.Supplier;
 import larkworks.Balancer.LoadReport;
 import larkworks.Balancer.Outcome;
+import larkworks.transport.TcpChannel;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -67,7 +68,7 @@
     private Set<InetSocketAddress> retired = Set.of();
 
     BackendPool(EventLoop loop, Sockets sockets, long connectTimeoutUs, long keepAliveUs) {
-        this(loop, sockets, connectTimeoutUs, keepAliveUs, NioSocketChannel::new);
+        this(loop, sockets, connectTimeoutUs, keepAliveUs, TcpChannel::new);
     }
 
     /** With a way of getting channels, which a test may have fail. */
--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -30,6 +29,7 @@
 import larkworks.Balancer.ListKind;
 import larkworks.adapter.Json;
 import larkworks.platform.Addresses;
+import larkworks.transport.TcpChannel;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -240,7 +240,7 @@
         if (channel != null && channel.isActive()) {
             write(channel);
         } else {
-            Bootstrap own = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            Bootstrap own = new Bootstrap().group(loop).channel(TcpChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) SILENCE_MS)
                     .handler(new ChannelInitializer<SocketChannel>() {
--- a/src/main/java/larkworks/scale/ServiceConnection.java
+++ b/src/main/java/larkworks/scale/ServiceConnection.java
@@ -13,7 +13,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -26,6 +25,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import larkworks.transport.TcpChannel;
 
 /**
  * A hollow client's connection to a service: HTTP/1.1, one call at a time. Of an answer only the
@@ -73,7 +73,7 @@
         this.client = client;
         this.bytes = bytes;
         host = to.getHostString() + ":" + to.getPort();
-        ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        ChannelFuture connecting = new Bootstrap().group(loop).channel(TcpChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<SocketChannel>() {
--- a/src/main/java/larkworks/transport/TcpListener.java
+++ b/src/main/java/larkworks/transport/TcpListener.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
@@ -98,7 +97,7 @@
 
     private boolean wrap(SocketChannel accepted, List<Object> into) {
         try {
-            into.add(new NioSocketChannel(this, accepted));
+            into.add(new TcpChannel(this, accepted));
             return true;
         } catch (RuntimeException e) {
             LOG.atError().setCause(e).log("an accepted connection can't be used");
