Blame no server for a connect that fails on this machine, and start without a socket at first

Cause: BackendPool told every failed connect as CONNECT_FAILED, which demotes and rests its server, and Logic.probeResult counted a probe that was never sent as unanswered; Main.await ended the process when its listening socket could not be had. Now SystemError tells errors of this machine (EMFILE, ENFILE, ENOBUFS, ENOMEM, EAGAIN, EADDRNOTAVAIL, EADDRINUSE, EPERM, EACCES, ENETDOWN, ENETUNREACH: no route here, whatever the server does) from those of the way or the server (refused, ETIMEDOUT, EHOSTUNREACH, reset). The former are tried again up to four times after 1 to 8 ms, an idle connection first; likewise the call to discovery, and the binding.

--- a/src/main/java/larkworks/Logic.java
+++ b/src/main/java/larkworks/Logic.java
@@ -992,6 +992,11 @@
             return;
         }
         s.probedAtUs = Long.MIN_VALUE;
+        if (outcome == Outcome.NOT_SENT) {
+            // Nothing left this machine, which tells nothing of the server.
+            advance(nowUs);
+            return;
+        }
         if (outcome == Outcome.OK && report != null) {
             s.unanswered = 0;
             probeUs += MEAN_WEIGHT * (elapsedUs - probeUs);
--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -34,6 +34,7 @@
 import java.util.function.Supplier;
 import larkworks.Balancer.LoadReport;
 import larkworks.Balancer.Outcome;
+import larkworks.transport.SystemError;
 import larkworks.transport.TcpChannel;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -57,6 +58,10 @@
      * milliseconds late, which the next request would be given. Those seen came after 1 to 18 ms.
      */
     static final long REST_MS = 20;
+    /** Further tries of a connection for which this machine had no descriptor, port or buffer. */
+    private static final int MOST_LOCAL_FAILURES = 4;
+    /** The pause before the first of them; doubled before each further one. */
+    private static final long FIRST_LOCAL_PAUSE_MS = 1;
 
     private final Bootstrap bootstrap;
     private final EventLoop loop;
@@ -91,6 +96,11 @@
      */
     Exchange begin(InetSocketAddress address, Supplier<HttpRequest> request, Receiver receiver) {
         Exchange exchange = new Exchange(request, receiver);
+        begin(address, exchange);
+        return exchange;
+    }
+
+    private void begin(InetSocketAddress address, Exchange exchange) {
         Connection connection = takeIdle(address);
         if (connection != null) {
             exchange.write(connection);
@@ -100,7 +110,6 @@
             // No descriptor is left here, which says nothing about the backend.
             exchange.end(Answer.of(Outcome.NOT_SENT));
         }
-        return exchange;
     }
 
     private void connect(InetSocketAddress address, Exchange exchange) {
@@ -112,11 +121,10 @@
             }
         });
         connection.channel = sockets.connect(own, loop, address, connected -> {
-            if (connected == null) {
-                // No descriptor was to be had, which says nothing about the backend.
-                exchange.end(Answer.of(Outcome.NOT_SENT));
-            } else if (connected.isSuccess()) {
+            if (connected != null && connected.isSuccess()) {
                 exchange.write(connection);
+            } else if (connected == null || SystemError.of(connected.cause()).isLocal()) {
+                notConnectedHere(address, exchange);
             } else {
                 exchange.end(Answer.of(Outcome.CONNECT_FAILED));
             }
@@ -124,6 +132,27 @@
         exchange.connection = connection.channel == null ? null : connection;
     }
 
+    /**
+     * This machine had no descriptor, port or buffer for the connection, which says nothing about the
+     * backend. Another try follows soon, on an idle connection first, but only a few: on a machine that stays
+     * without, the loop must not spin.
+     */
+    private void notConnectedHere(InetSocketAddress address, Exchange exchange) {
+        exchange.connection = null;
+        if (exchange.done) {
+            return;
+        }
+        if (exchange.localFailures == MOST_LOCAL_FAILURES) {
+            exchange.end(Answer.of(Outcome.NOT_SENT));
+            return;
+        }
+        loop.schedule(() -> {
+            if (!exchange.done) {
+                begin(address, exchange);
+            }
+        }, FIRST_LOCAL_PAUSE_MS << exchange.localFailures++, TimeUnit.MILLISECONDS);
+    }
+
     /** Of those rested the one used last: the others then grow old and close, and a warm one serves. */
     private Connection takeIdle(InetSocketAddress address) {
         ArrayDeque<Connection> free = idle.get(address);
@@ -263,6 +292,7 @@
         private final Supplier<HttpRequest> request;
         private final Receiver receiver;
         private Connection connection;
+        private int localFailures;
         private Upload upload;
         private boolean begun;
         private boolean written;
--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -29,6 +29,7 @@
 import larkworks.Balancer.ListKind;
 import larkworks.adapter.Json;
 import larkworks.platform.Addresses;
+import larkworks.transport.SystemError;
 import larkworks.transport.TcpChannel;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -72,6 +73,9 @@
      */
     private static final long IDLE_PAUSE_MS = 20;
     private static final long FIRST_PAUSE_MS = 50;
+    /** A connection that this machine could not make is tried again after this pause, so many times. */
+    private static final long LOCAL_PAUSE_MS = 10;
+    private static final int MOST_LOCAL_FAILURES = 10;
     /** Those who lose one of several services at the same moment come to the others spread over so long. */
     private static final long FAIL_OVER_MS = 200;
     /** The most, and with its jitter of a quarter no more than half of a drain's grace. */
@@ -118,6 +122,8 @@
     private int failedInRow;
     /** Those of them that were answered, but with no list. */
     private int refusedInRow;
+    /** Connections in a row for which this machine had no descriptor, port or buffer. */
+    private int localFailures;
     private boolean heard;
     /** Whether the first call has ended; where lists are asked for, they count only when they come. */
     private boolean settled;
@@ -252,10 +258,10 @@
                         }
                     });
             channel = sockets.connectReserved(own, loop, addresses.get(at), connected -> {
-                if (connected == null) {
-                    noSocket(from);
-                } else if (connected.isSuccess()) {
+                if (connected != null && connected.isSuccess()) {
                     write(connected.channel());
+                } else if (connected == null || SystemError.of(connected.cause()).isLocal()) {
+                    notConnectedHere(from);
                 } else {
                     lost(connected.channel());
                 }
@@ -263,11 +269,23 @@
         }
     }
 
-    /** Told of late: by then discovery may have moved, and another call be out. */
-    private void noSocket(long from) {
-        if (from == calledAt) {
+    /**
+     * This machine had no descriptor, port or buffer for the connection, which says nothing about discovery:
+     * the same call begins anew soon, some times. Told of late: by then discovery may have moved, and another
+     * call be out.
+     */
+    private void notConnectedHere(long from) {
+        if (from != calledAt || !calling || closed) {
+            return;
+        }
+        if (++localFailures > MOST_LOCAL_FAILURES) {
             failed();
+            return;
         }
+        calling = false;
+        silence.cancel(false);
+        dropChannel();
+        callIn(LOCAL_PAUSE_MS);
     }
 
     /** Has the next call begin after a pause, unless something else has it begin sooner. */
@@ -344,6 +362,7 @@
 
     /** Ends the call that is out; the next goes to the next service, where there are several. */
     private void giveUp() {
+        localFailures = 0;
         calling = false;
         behind = true;
         silence.cancel(false);
@@ -394,6 +413,7 @@
         pauseMs = FIRST_PAUSE_MS;
         failedInRow = 0;
         refusedInRow = 0;
+        localFailures = 0;
         if (!HttpUtil.isKeepAlive(response)) {
             dropChannel();
         }
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -24,6 +24,7 @@
 import larkworks.platform.ConfigFile.Unusable;
 import larkworks.platform.Logs;
 import larkworks.shared.SharedState;
+import larkworks.transport.SystemError;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -50,6 +51,9 @@
      * warming up take up to 3 s where twenty start at once on shared cores.
      */
     private static final long LIST_WAIT_MS = 2_500;
+    /** A socket to listen with that can't be had for a moment is asked for again, and for so long. */
+    private static final long LISTEN_AGAIN_MS = 20;
+    private static final long LISTEN_TRIES_MS = 5_000;
     /** How often it is seen whether that list has come. */
     private static final long LIST_LOOK_MS = 20;
 
@@ -166,14 +170,13 @@
             }
         }).sync();
         if (shared) {
-            admin = await(new Admin(loop, frontend::serves, maintenance,
-                    tables(), meters).listen(config.admin()),
-                    config.admin());
+            Admin operators = new Admin(loop, frontend::serves, maintenance, tables(), meters);
+            admin = listen(() -> operators.listen(config.admin()), config.admin());
         }
         // Warming up at the shared address would reach the other process, and backends through it.
         InetSocketAddress first = shared ? new InetSocketAddress(config.listen().getAddress(), 0)
                 : config.listen();
-        Channel listener = await(frontend.listen(first, false), first);
+        Channel listener = listen(() -> frontend.listen(first, false), first);
         InetSocketAddress self = (InetSocketAddress) listener.localAddress();
         loop.execute(() -> Warmup.run(config, loop, sockets, self, () -> {
             if (shared) {
@@ -230,9 +233,16 @@
         }
     }
 
-    private static Channel await(ChannelFuture bound, InetSocketAddress address)
+    /** Listens; where the system has no socket for a moment, that must not end the start. */
+    private static Channel listen(Supplier<ChannelFuture> binding, InetSocketAddress address)
             throws Unusable, InterruptedException {
-        bound.await();
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LISTEN_TRIES_MS);
+        ChannelFuture bound = binding.get().await();
+        while (!bound.isSuccess() && SystemError.of(bound.cause()).isMomentary()
+                && System.nanoTime() - untilNanos < 0) {
+            Thread.sleep(LISTEN_AGAIN_MS);
+            bound = binding.get().await();
+        }
         if (!bound.isSuccess()) {
             throw new Unusable("can't listen at " + address, List.of(bound.cause().getMessage()));
         }
@@ -255,6 +265,8 @@
             if (done.isSuccess()) {
                 ready();
                 serving.trySuccess((InetSocketAddress) bound.channel().localAddress());
+            } else if (SystemError.of(done.cause()).isMomentary()) {
+                loop.schedule(() -> serveOnceListed(untilNanos), LISTEN_AGAIN_MS, TimeUnit.MILLISECONDS);
             } else {
                 serving.tryFailure(done.cause());
             }
--- a/src/test/java/larkworks/LogicTest.java
+++ b/src/test/java/larkworks/LogicTest.java
@@ -785,6 +785,24 @@
             assertEquals(before, p.count("probe a"));
         }
 
+        @Test
+        void aProbeThatNeverLeftThisMachineSaysNothingOfItsServer() {
+            // Two such rested the server, though it had been asked nothing.
+            Proxy p = served("a", "b", "c", "d");
+            for (int i = 0; i < 2; i++) {
+                p.logic.probeResult(p.now, "a", Outcome.NOT_SENT, 0, null);
+            }
+            int before = p.count("probe a");
+            for (int i = 0; i < 8; i++) {
+                int seen = p.done.size();
+                p.request(Proxy.SAFE);
+                p.pass(5);
+                answer(p, seen, 0, "");
+                p.pass(5);
+            }
+            assertNotEquals(before, p.count("probe a"));
+        }
+
         @Test
         void amongBusyServersASilentOneComesLater() {
             // In a zone cut off from the others more than half of the servers are out of reach, so not all
