Place servers' starts on the monotonic clock, bounded by what was seen of them

Cause: proxy.Clock took Unix time once at the start, and Logic's ramp is that minus since_ms, so a process that starts with a wrong clock takes cold servers for warm, or keeps them cold for an hour. StartTimes bounds each start: not in the future, no older than the list held before where it is told on a watch, and since the process's own start where the remembered list did not hold it and the clock calls it old; a difference of the clocks shown so holds for all starts. Left: a first list by a clock ahead, with no list remembered, shows nothing by which the difference could be told.

--- a/src/main/java/larkworks/proxy/Clock.java
+++ b/src/main/java/larkworks/proxy/Clock.java
@@ -1,11 +1,11 @@
 package larkworks.proxy;
 
-/** Microseconds of Unix time that never go back: read once from the system, then a monotonic clock's. */
-final class Clock {
+import larkworks.platform.SteadyClock;
 
-    private final long offsetUs = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
+/** The proxy's time in microseconds, which never steps; see {@link SteadyClock}. */
+final class Clock {
 
     long nowUs() {
-        return offsetUs + System.nanoTime() / 1000;
+        return SteadyClock.nowUs();
     }
 }
--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -112,6 +112,9 @@
     private boolean begun;
     private long begunAt;
     private long calledAt;
+    private long calledUs;
+    /** When the list held was current: when the call was made that it answers; see {@link StartTimes}. */
+    private long currentUs = Long.MIN_VALUE;
     /**
      * Since when what isn't known here may count as told, by the driver's clock: where lists are pushed, what
      * the agent has counts whether or not it was asked. The greatest value where all is told at once.
@@ -242,6 +245,7 @@
         begun = false;
         long from = System.nanoTime();
         calledAt = from;
+        calledUs = driver.clock().nowUs();
         limit(behind ? CATCH_UP_MS : index < 0 ? SILENCE_MS : WAIT_MS + WATCH_SILENCE_MS);
         if (channel != null && channel.isActive()) {
             write(channel);
@@ -406,6 +410,7 @@
         }
         epoch = told;
         calling = false;
+        long answeredCallUs = calledUs;
         silence.cancel(false);
         heard = true;
         behind = false;
@@ -430,7 +435,10 @@
         }
         long toldUs = Math.min(unsureUs, driver.clock().nowUs());
         unsureUs = Long.MAX_VALUE;
-        driver.listChanged(listing.whole() ? ListKind.WHOLE : ListKind.CHANGES, listing.entries(), toldUs);
+        long beforeUs = currentUs;
+        currentUs = answeredCallUs;
+        driver.listChanged(listing.whole() ? ListKind.WHOLE : ListKind.CHANGES, listing.entries(), toldUs,
+                beforeUs);
         settle();
     }
 
--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -125,6 +125,7 @@
     private final Set<String> out = new HashSet<>();
     private final PendingRequests requests;
     private final HealthProbes probes;
+    private final StartTimes starts;
     private long lastId;
     /** By then requests that come now must have their answer, whatever time their clients give. */
     private long answerByUs = Long.MAX_VALUE;
@@ -144,6 +145,7 @@
     Driver(Config config, Clock clock, EventLoop loop, BackendPool pool, Meters meters) {
         this.meters = meters;
         this.settings = config.settings();
+        this.starts = new StartTimes(settings.rules().coldUs());
         this.clock = clock;
         this.requests = new PendingRequests(clock);
         this.loop = loop;
@@ -385,24 +387,35 @@
      * A list came, or changes of it.
      *
      * @param toldUs since when what it tells may count as told, by the driver's clock
+     * @param currentUs when the list held before was known to be current, likewise; the least value where it
+     *     never was
      */
-    void listChanged(ListKind kind, List<Listing.Entry> entries, long toldUs) {
+    void listChanged(ListKind kind, List<Listing.Entry> entries, long toldUs, long currentUs) {
         if (shared != null) {
             // Before the module sees a cold server, it must know what it may send there.
             shared.listed(kind == ListKind.CHANGES, entries.stream().map(Listing.Entry::server).toList());
         }
         enter(() -> {
             long now = clock.nowUs();
-            List<Server> servers = new ArrayList<>(entries.size());
+            List<Server> moved = new ArrayList<>();
+            List<Server> servers = new ArrayList<>(starts.place(now, kind,
+                    entries.stream().map(Listing.Entry::server).toList(), currentUs, moved));
             Set<String> listed = new HashSet<>();
-            for (Listing.Entry entry : entries) {
-                servers.add(entry.server());
-                listed.add(entry.server().id());
-                known.add(entry.server().id());
-                Backend b = backends.computeIfAbsent(entry.server().id(), id -> new Backend());
-                b.address = entry.address() == null ? b.address : entry.address();
-                b.listed = entry.server().status() == ServerStatus.UP ? entry.server() : null;
-                down(toldUs, b, entry.server().status());
+            for (int i = 0; i < entries.size(); i++) {
+                Server server = servers.get(i);
+                listed.add(server.id());
+                known.add(server.id());
+                Backend b = backends.computeIfAbsent(server.id(), id -> new Backend());
+                b.address = entries.get(i).address() == null ? b.address : entries.get(i).address();
+                b.listed = server.status() == ServerStatus.UP ? server : null;
+                down(toldUs, b, server.status());
+            }
+            for (Server later : moved) {
+                Backend b = backends.get(later.id());
+                if (kind == ListKind.CHANGES && b != null && b.listed != null) {
+                    b.listed = later;
+                    servers.add(later);
+                }
             }
             if (kind == ListKind.WHOLE) {
                 backends.forEach((id, b) -> {
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -160,7 +160,7 @@
         loop.submit(() -> {
             driver.listChanged(ListKind.REMEMBERED,
                     config.known() == null ? List.of() : config.known().entries(),
-                    driver.clock().nowUs());
+                    driver.clock().nowUs(), Long.MIN_VALUE);
             if (shared) {
                 maintenance.start();
             }
--- a/src/main/java/larkworks/proxy/Warmup.java
+++ b/src/main/java/larkworks/proxy/Warmup.java
@@ -37,7 +37,8 @@
     static void run(Config config, EventLoop loop, Sockets sockets, InetSocketAddress self, Runnable done) {
         Warmup warmup = new Warmup(config, loop, sockets, done);
         warmup.driver.listChanged(ListKind.REMEMBERED, List.of(new Listing.Entry(
-                new Server("self", 0, 0, 0, 1, ServerStatus.UP), self)), warmup.clock.nowUs());
+                new Server("self", 0, 0, 0, 1, ServerStatus.UP), self)), warmup.clock.nowUs(),
+                Long.MIN_VALUE);
         loop.schedule(() -> warmup.end(), MOST_MS, TimeUnit.MILLISECONDS);
         warmup.next();
     }
--- a/src/test/java/larkworks/proxy/PendingRequestsTest.java
+++ b/src/test/java/larkworks/proxy/PendingRequestsTest.java
@@ -102,7 +102,8 @@
     private void listBackend(InetSocketAddress address) throws Exception {
         onLoop(() -> {
             driver.listChanged(ListKind.WHOLE, List.of(new Listing.Entry(
-                    new Server("b0", 0, 0, 0, 1, ServerStatus.UP), address)), clock.nowUs());
+                    new Server("b0", 0, 0, 0, 1, ServerStatus.UP), address)), clock.nowUs(),
+                    Long.MIN_VALUE);
             return null;
         });
     }
