Measure the list service's spans by a clock that never steps

Cause: ListService, LeaderDuties' callers, ReplicaService and the log's entries read the wall clock, and Rollouts took the stored time of a wave for the present clock's: after a restart an hour back a wave never baked, an hour ahead it was through, or paused, at once. SteadyClock now measures, and a wave began no earlier than this service did and never to come.

--- a/src/main/java/larkworks/fleet/FleetMember.java
+++ b/src/main/java/larkworks/fleet/FleetMember.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
+import larkworks.platform.WallClock;
 import larkworks.shared.SharedState;
 
 /**
@@ -56,7 +57,7 @@
         this.config = config;
         this.trouble = trouble;
         membership = new Membership(config.self(), config.peers().size(), config.settings(), new Random(),
-                nowUs(), System.currentTimeMillis() / 1000, new Counting(events));
+                nowUs(), WallClock.unixMs() / 1000, new Counting(events));
         socket = new PeerSocket(loop, config, this::receive);
         counted();
     }
--- a/src/main/java/larkworks/proxy/StartTimes.java
+++ b/src/main/java/larkworks/proxy/StartTimes.java
@@ -15,7 +15,7 @@
  */
 final class StartTimes {
 
-    /** Changes of a list may come some seconds after the start that they tell, which tells nothing of clocks. */
+    /** Lists may come some seconds after the starts that they tell, which tells nothing of clocks. */
     private static final long LATE_LIST_US = 30_000_000;
 
     /** Starts that are remembered, also of servers that no list names for a while. */
--- a/src/main/java/larkworks/registry/ListService.java
+++ b/src/main/java/larkworks/registry/ListService.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import larkworks.platform.SteadyClock;
 import larkworks.rollout.Report;
 import larkworks.rollout.RolloutState;
 import larkworks.rollout.Rollouts;
@@ -32,7 +33,7 @@
     private final Registrar registrar;
     private final Leases leases = new Leases();
     private final Admission admission;
-    private final Rollouts rollouts = new Rollouts(System.currentTimeMillis());
+    private final Rollouts rollouts = new Rollouts(SteadyClock.nowMs());
     private final Watches watches;
     private ScheduledFuture<?> looking;
     private long era;
@@ -92,7 +93,7 @@
 
     @Override
     public void write(Command command, Answer<Long> answer) throws Refusal {
-        List<Change> changes = command.grant(registrar, System.currentTimeMillis());
+        List<Change> changes = command.grant(registrar, SteadyClock.nowMs());
         // The last one's fate is the fate of all before it: what is built on a failed change fails too.
         for (int i = 0; i + 1 < changes.size(); i++) {
             store.submit(new Store.Ticket(changes.get(i), failure -> { }, era));
@@ -181,7 +182,7 @@
     /** The proxy is told only what is on disk. */
     @Override
     public void report(String proxy, Report report, Answer<byte[]> answer) {
-        long now = System.currentTimeMillis();
+        long now = SteadyClock.nowMs();
         rollouts.report(proxy, report, now);
         answer.ended(Words.bytes(rollouts.target(catalog.rollout(), proxy, now)), null);
     }
@@ -198,8 +199,8 @@
         if (!admission.on() || store.isBroken() || admitting > 0) {
             return;
         }
-        ramp(admission.step(catalog.live(), rollouts.resting(System.currentTimeMillis()),
-                System.currentTimeMillis()));
+        ramp(admission.step(catalog.live(), rollouts.resting(SteadyClock.nowMs()),
+                SteadyClock.nowMs()));
     }
 
     @Override
@@ -226,7 +227,7 @@
         if (now == null || now != catalog.rollout() || store.isBroken()) {
             return;
         }
-        RolloutState next = rollouts.step(now, System.currentTimeMillis());
+        RolloutState next = rollouts.step(now, SteadyClock.nowMs());
         if (next != now) {
             LOG.atInfo().addKeyValue("rollout", next.plan().name()).addKeyValue("version", next.version())
                     .addKeyValue("phase", next.phase().wire()).addKeyValue("wave", next.wave())
--- a/src/main/java/larkworks/registry/RatisStateMachine.java
+++ b/src/main/java/larkworks/registry/RatisStateMachine.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.function.Supplier;
+import larkworks.platform.SteadyClock;
 import org.apache.ratis.io.MD5Hash;
 import org.apache.ratis.proto.RaftProtos.LogEntryProto;
 import org.apache.ratis.protocol.Message;
@@ -123,7 +124,7 @@
     public TransactionContext startTransaction(RaftClientRequest request) {
         ByteString commands = request.getMessage().getContent();
         ByteBuffer entry = ByteBuffer.allocate(Long.BYTES + commands.size());
-        entry.putLong(System.currentTimeMillis()).put(commands.asReadOnlyByteBuffer());
+        entry.putLong(SteadyClock.nowMs()).put(commands.asReadOnlyByteBuffer());
         return TransactionContext.newBuilder().setStateMachine(this).setClientRequest(request)
                 .setLogData(ByteString.copyFrom(entry.flip())).build();
     }
--- a/src/main/java/larkworks/registry/ReplicaService.java
+++ b/src/main/java/larkworks/registry/ReplicaService.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import larkworks.platform.Addresses;
+import larkworks.platform.SteadyClock;
 import larkworks.rollout.Report;
 import org.apache.ratis.protocol.RaftPeerId;
 import org.apache.ratis.protocol.exceptions.NotLeaderException;
@@ -96,7 +97,7 @@
                 currentAt = everCurrent ? Math.max(currentAt, at) : at;
                 everCurrent = true;
             }
-            duties.look(nowMs(), System.currentTimeMillis());
+            duties.look(nowMs(), SteadyClock.nowMs());
         } catch (IOException | RuntimeException e) {
             LOG.atError().setCause(e).log("the replica's state can't be told");
         }
@@ -315,7 +316,7 @@
         List<LeaderQuery.Reply> replies = new ArrayList<>(asked.size());
         for (LeaderQuery query : asked) {
             try {
-                replies.add(LeaderQuery.Reply.of(duties.answer(query, nowMs(), System.currentTimeMillis())));
+                replies.add(LeaderQuery.Reply.of(duties.answer(query, nowMs(), SteadyClock.nowMs())));
             } catch (Refusal e) {
                 replies.add(LeaderQuery.Reply.refused(e));
             }
@@ -337,7 +338,7 @@
     @Override
     public void lead(long term) {
         LOG.atInfo().addKeyValue("term", term).log("leads");
-        duties.lead(term, nowMs(), System.currentTimeMillis());
+        duties.lead(term, nowMs(), SteadyClock.nowMs());
     }
 
     @Override
--- a/src/main/java/larkworks/rollout/Rollouts.java
+++ b/src/main/java/larkworks/rollout/Rollouts.java
@@ -18,7 +18,7 @@
 /**
  * The steps of a rollout: what commands and the proxies' reports make of its state. It holds the reports,
  * and for each proxy which version it should run; the state itself is its owner's, who has it on disk.
- * Times are Unix milliseconds by the caller's clock.
+ * Times are milliseconds by the caller's clock, which must never step.
  */
 public final class Rollouts {
 
@@ -44,13 +44,33 @@
     private static final long SETTLE_MS = 3_000;
 
     private final Map<String, Heard> heard = new HashMap<>();
+    private final long startedMs;
     private final long settledMs;
+    /** The wave of which the state tells a time to come, and when that was seen first. */
+    private RolloutState aheadState;
+    private long aheadSeenMs;
 
     /** @param nowMs the start of the service, which knows what proxies run only some seconds later */
     public Rollouts(long nowMs) {
+        startedMs = nowMs;
         settledMs = nowMs + SETTLE_MS;
     }
 
+    /**
+     * When the wave began, as far as this service can tell: what was stored may be of another process, whose
+     * clock differed by any amount. So it is no earlier than the start of this one, and never to come.
+     */
+    private long beganMs(RolloutState state, long nowMs) {
+        if (state.sinceMs() <= nowMs) {
+            return Math.max(state.sinceMs(), startedMs);
+        }
+        if (aheadState != state) {
+            aheadState = state;
+            aheadSeenMs = nowMs;
+        }
+        return aheadSeenMs;
+    }
+
     /** Takes a proxy's report. */
     public void report(String proxy, Report report, long nowMs) {
         Heard before = heard.get(proxy);
@@ -124,7 +144,7 @@
         long requests = 0;
         long failures = 0;
         boolean all = !members.isEmpty();
-        long lastMs = state.sinceMs();
+        long lastMs = beganMs(state, nowMs);
         for (String proxy : members) {
             Heard h = heard.get(proxy);
             if (h != null && h.report.refused() == state.version()) {
@@ -148,7 +168,7 @@
             boolean last = state.wave() + 1 >= state.plan().waves().size();
             return state.at(last ? Phase.DONE : Phase.RUNNING, state.wave() + 1, nowMs, "");
         }
-        if (nowMs - state.sinceMs() >= state.plan().waitMs()) {
+        if (nowMs - beganMs(state, nowMs) >= state.plan().waitMs()) {
             return state.at(Phase.PAUSED, state.wave(), nowMs, "wave " + (state.wave() + 1)
                     + " is not through after " + state.plan().waitMs() + " ms: "
                     + missing(state, members, nowMs));
--- a/src/main/java/larkworks/scale/HollowBackend.java
+++ b/src/main/java/larkworks/scale/HollowBackend.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
+import larkworks.platform.WallClock;
 
 /** A backend without its service: it registers, keeps its lease, drains, crashes and comes back. */
 final class HollowBackend implements ServiceConnection.Client {
@@ -52,7 +53,7 @@
         inService = true;
         int own = ++life;
         // A start is new by its time, so that a later one is another change.
-        write(API + name, registration + System.currentTimeMillis() + "}", made);
+        write(API + name, registration + WallClock.unixMs() + "}", made);
         loop.schedule(() -> beat(own), scenario.heartbeatMs(), TimeUnit.MILLISECONDS);
     }
 
--- a/src/main/java/larkworks/transport/SystemError.java
+++ b/src/main/java/larkworks/transport/SystemError.java
@@ -56,7 +56,7 @@
         this.local = local;
     }
 
-    /** Whether the call failed on this machine before anything left it, so that it tells nothing of a peer. */
+    /** Whether the call failed before anything left this machine, so that it tells nothing of a peer. */
     public boolean isLocal() {
         return local;
     }
--- a/src/test/java/larkworks/proxy/SharedExperiment.java
+++ b/src/test/java/larkworks/proxy/SharedExperiment.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import larkworks.Program;
 import larkworks.adapter.Json;
+import larkworks.platform.WallClock;
 
 /**
  * Issue 11's figures, not a test: {@code java -cp CLASSES larkworks.proxy.SharedExperiment N TRIALS
@@ -118,7 +119,7 @@
                 callers.get(i).setDaemon(true);
                 callers.get(i).start();
             }
-            fleet.backend("cold", System.currentTimeMillis());
+            fleet.backend("cold", WallClock.unixMs());
             pause(seconds * 300);
             fleet.relay.partition(1, 0, 0, 0, 0, 0, 0, 0, 0, 0);
             fleet.relay.loss(0.2);
--- a/src/test/java/larkworks/proxy/SharedFleetTest.java
+++ b/src/test/java/larkworks/proxy/SharedFleetTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 import larkworks.Program;
+import larkworks.platform.WallClock;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -83,7 +84,7 @@
                 caller.start();
                 callers.add(caller);
             }
-            fleet.backend("cold", System.currentTimeMillis());
+            fleet.backend("cold", WallClock.unixMs());
             Program.await(30, () -> "nothing comes", () -> fleet.arrivals.get("cold").size() > 60);
             fleet.relay.partition(1, 0, 0, 0, 0, 0, 0, 0, 0, 0);
             fleet.relay.loss(0.3);
--- a/src/test/java/larkworks/registry/RegistryProcessTest.java
+++ b/src/test/java/larkworks/registry/RegistryProcessTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import larkworks.Program;
+import larkworks.platform.WallClock;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -196,7 +197,7 @@
             }
             for (int i = 0; i < 6; i++) {
                 caller.register("new" + i, "10.0.0.2:" + (1 + i),
-                        ",\"since_ms\":" + System.currentTimeMillis());
+                        ",\"since_ms\":" + WallClock.unixMs());
             }
             Program.await(10, () -> weights(caller).toString(), () -> figure(caller, "ramping") == 2);
             Map<String, Double> first = weights(caller);
--- a/src/test/java/larkworks/rollout/RolloutsTest.java
+++ b/src/test/java/larkworks/rollout/RolloutsTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The steps of a rollout, on a clock of their own. */
 class RolloutsTest {
@@ -92,6 +93,31 @@
         assertThrows(Conflict.class, () -> Rollouts.publish(third, third.plan(), 9, START));
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {-3_600_000, -1_000, 1_000, 3_600_000})
+    void aWaveBakesItsTimeAfterARestartWithTheClockStepped(long stepMs) throws Exception {
+        RolloutState state = published(null, List.of(new Wave(0.5, null), new Wave(1.0, null)));
+        long restart = START + 500 + stepMs;
+        Rollouts anew = new Rollouts(restart);
+        for (int ms = 0; ms < 3_900; ms += 100) {
+            anew.report("a", new Report(ms < 3_000 ? 0 : VERSION, 50, 0, 0, "", null), restart + ms);
+            assertEquals(0, anew.step(state, restart + ms).wave(), ms + " ms after the restart");
+        }
+        anew.report("a", new Report(VERSION, 50, 0, 0, "", null), restart + 4_100);
+        assertEquals(1, anew.step(state, restart + 4_100).wave());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {-3_600_000, 3_600_000})
+    void aWaveWaitsForItsProxiesAfterARestartWithTheClockStepped(long stepMs) throws Exception {
+        RolloutState state = published(null, List.of(new Wave(null, List.of("a", "b"))));
+        long restart = START + stepMs;
+        Rollouts anew = new Rollouts(restart);
+        assertEquals(Phase.RUNNING, anew.step(state, restart + 5_000).phase());
+        assertEquals(Phase.RUNNING, anew.step(state, restart + 29_000).phase());
+        assertEquals(Phase.PAUSED, anew.step(state, restart + 35_000).phase());
+    }
+
     /** The examples of RFC 7396, appendix A, that objects can show. */
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
--- a/src/test/java/larkworks/soak/History.java
+++ b/src/test/java/larkworks/soak/History.java
@@ -33,7 +33,7 @@
         final long budgetUs;
         /** Whether no request went before it on its connection. */
         final boolean firstOnConnection;
-        /** When its last byte was given to the system; {@link #NEVER} where the client never sent it whole. */
+        /** When its last byte was given to the system; {@link #NEVER} where it never was. */
         long sentUs = NEVER;
         long firstSentUs;
         long clientLeftUs = NEVER;
--- a/src/test/java/larkworks/soak/MessageReader.java
+++ b/src/test/java/larkworks/soak/MessageReader.java
@@ -6,7 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 
-/** Splits bytes into HTTP/1.1 messages whose length is told; no other form is sent to or by the soak's parts. */
+/** Splits bytes into HTTP/1.1 messages whose length is told, the only form that the soak's parts use. */
 final class MessageReader {
 
     private static final String HEAD_END = "\r\n\r\n";
--- a/src/test/java/larkworks/soak/Soak.java
+++ b/src/test/java/larkworks/soak/Soak.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import larkworks.platform.WallClock;
 import larkworks.soak.History.ProxyLife;
 
 /**
@@ -116,7 +117,7 @@
         return run(null, kept == null ? schedule : kept.stream().map(schedule::get).toList());
     }
 
-    /** Plays these troubles. {@code rules} for system calls hold at each start; null has the seed draw them. */
+    /** Plays these troubles; {@code rules} for system calls hold at each start, null has the seed draw them. */
     Result run(String rules, List<Trouble> schedule) throws Exception {
         for (int i = 0; i < settings.servers(); i++) {
             SoakServer server = server();
@@ -199,8 +200,9 @@
     private void start(Node node, String rules) throws Exception {
         String known = loop.submit(discovery::whole).get();
         node.proxy.configure(node.addresses[node.inUse].text(), known);
-        String drawn = rules != null ? rules : Boolean.parseBoolean(System.getProperty("soak.syscalls", "true"))
-                ? Trouble.systemCalls(settings, node.proxy.number, node.starts) : "";
+        boolean draws = Boolean.parseBoolean(System.getProperty("soak.syscalls", "true"));
+        String drawn = rules != null ? rules
+                : draws ? Trouble.systemCalls(settings, node.proxy.number, node.starts) : "";
         if (!drawn.isEmpty()) {
             System.out.println("p" + node.proxy.number + "/" + node.starts + " fails by " + drawn);
         }
@@ -363,7 +365,7 @@
 
     private void join(SoakServer server) {
         history.coldStarts.add(new History.ColdStart(server.name, history.nowUs()));
-        discovery.put(server.name, server.address(), "in_service", System.currentTimeMillis());
+        discovery.put(server.name, server.address(), "in_service", WallClock.unixMs());
     }
 
     /** No more requests; what was taken gets its time, then every process has to end by itself. */
--- a/src/test/java/larkworks/soak/SoakClient.java
+++ b/src/test/java/larkworks/soak/SoakClient.java
@@ -180,7 +180,8 @@
             boolean get = request.effect == History.Effect.SAFE;
             return (get ? "GET" : "POST") + " /" + name + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + request.id
                     + "\r\nX-Call-Class: " + name + "\r\nX-Budget-Ms: " + request.budgetUs / 1000 + "\r\n"
-                    + (request.effect == History.Effect.KEYED ? "Idempotency-Key: k" + request.id + "\r\n" : "")
+                    + (request.effect == History.Effect.KEYED
+                            ? "Idempotency-Key: k" + request.id + "\r\n" : "")
                     + (get ? "\r\n" : "Content-Length: 5\r\n\r\nhello");
         }
 
--- a/src/test/java/larkworks/soak/SoakDiscovery.java
+++ b/src/test/java/larkworks/soak/SoakDiscovery.java
@@ -33,8 +33,8 @@
     /** One line of the list. */
     private record Entry(String name, String address, String status, long sinceMs, long index) {
         String json() {
-            return "{\"name\":\"" + name + "\",\"address\":\"" + address + "\",\"zone\":\"a\",\"type\":\"m\","
-                    + "\"group\":1,\"status\":\"" + status + "\",\"weight\":1.0,\"since_ms\":" + sinceMs + "}";
+            return "{\"name\":\"" + name + "\",\"address\":\"" + address + "\",\"zone\":\"a\","
+                    + "\"type\":\"m\",\"group\":1,\"status\":\"" + status + "\",\"weight\":1.0,\"since_ms\":" + sinceMs + "}";
         }
     }
 
--- a/src/test/java/larkworks/soak/Trouble.java
+++ b/src/test/java/larkworks/soak/Trouble.java
@@ -16,7 +16,8 @@
 
     /** What happens. */
     enum Kind {
-        SERVER_FAULT, SERVER_DRAIN, SERVER_CRASH, SERVER_JOIN, DISCOVERY_FAULT, HANG_UP, TERMINATE, KILL, PAUSE
+        SERVER_FAULT, SERVER_DRAIN, SERVER_CRASH, SERVER_JOIN, DISCOVERY_FAULT, HANG_UP, TERMINATE, KILL,
+        PAUSE
     }
 
     private static final int LEAD_MS = 500;
