--- a/src/test/java/larkworks/soak/Soak.java
+++ b/src/test/java/larkworks/soak/Soak.java
@@ -117,7 +117,7 @@
         return run(null, kept == null ? schedule : kept.stream().map(schedule::get).toList());
     }
 
-    /** Plays these troubles; {@code rules} for system calls hold at each start, null has the seed draw them. */
+    /** Plays these troubles; these rules for system calls hold at each start, null has the seed draw them. */
     Result run(String rules, List<Trouble> schedule) throws Exception {
         for (int i = 0; i < settings.servers(); i++) {
             SoakServer server = server();
--- a/src/test/java/larkworks/soak/SoakDiscovery.java
+++ b/src/test/java/larkworks/soak/SoakDiscovery.java
@@ -34,7 +34,8 @@
     private record Entry(String name, String address, String status, long sinceMs, long index) {
         String json() {
             return "{\"name\":\"" + name + "\",\"address\":\"" + address + "\",\"zone\":\"a\","
-                    + "\"type\":\"m\",\"group\":1,\"status\":\"" + status + "\",\"weight\":1.0,\"since_ms\":" + sinceMs + "}";
+                    + "\"type\":\"m\",\"group\":1,\"status\":\"" + status
+                    + "\",\"weight\":1.0,\"since_ms\":" + sinceMs + "}";
         }
     }
 
--- a/src/test/java/larkworks/soak/SoakSettings.java
+++ b/src/test/java/larkworks/soak/SoakSettings.java
@@ -45,7 +45,8 @@
                 + "\"loadInfo\":{\"fields\":[\"inflight\"],\"how\":\"probe\"},\"locality\":0,\"me\":" + number
                 + ",\"overShareWorth\":1.0,\"resolutionUs\":1000,\"rules\":{\"askEveryUs\":3000000,"
                 + "\"coldFrom\":" + COLD_FROM + ",\"coldUs\":" + COLD_US
-                + ",\"drainGraceUs\":" + DRAIN_GRACE_US + ",\"overloadForUs\":" + OVERLOAD_US + ",\"tipMultiple\":" + TIP_MULTIPLE
+                + ",\"drainGraceUs\":" + DRAIN_GRACE_US + ",\"overloadForUs\":" + OVERLOAD_US
+                + ",\"tipMultiple\":" + TIP_MULTIPLE
                 + "},\"tenants\":[]}}";
     }
 
--- a/src/test/java/larkworks/soak/SystemCallFaultsTest.java
+++ b/src/test/java/larkworks/soak/SystemCallFaultsTest.java
@@ -56,7 +56,8 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"recv=EINTR@20", "send=EINTR@20", "recv=SHORT@50", "send=SHORT@50", "send=EAGAIN@20"})
+    @ValueSource(strings = {"recv=EINTR@20", "send=EINTR@20", "recv=SHORT@50", "send=SHORT@50",
+        "send=EAGAIN@20"})
     void anInterruptedOrShortTransferEndsNothing(String rule) throws Exception {
         Soak.Result result = play(rule, List.of());
         assertEquals(result.requests(), result.served(), result.toString());
