Recover the list service's store by itself after a failed sync

Cause: Wal.append marked the log broken for good after a failed fsync and left the unsynced frames in the file, so that every write got 503 until a restart, and the next start read changes that were answered as not stored. Same mistake: Wal.roll left an empty segment where the folder could not be synced, behind which a torn tail of the one still written would have ended the next start as damage.

--- a/src/main/java/larkworks/registry/ListService.java
+++ b/src/main/java/larkworks/registry/ListService.java
@@ -26,6 +26,9 @@
     /** How often leases are looked at, and how soon an end that could not be stored is tried again. */
     private static final long LEASE_LOOK_MS = 100;
     private static final long LEASE_AGAIN_MS = 1_000;
+    /** Pauses before a broken store is recovered: the first, and the longest as they double. */
+    private static final long FIRST_RECOVERY_MS = 50;
+    private static final long MOST_RECOVERY_MS = 2_000;
 
     private final EventLoop loop;
     private final Store store;
@@ -37,6 +40,8 @@
     private final Watches watches;
     private ScheduledFuture<?> looking;
     private long era;
+    /** The pause before the next recovery of the store; 0 while none is due. */
+    private long recoveryMs;
     /** Steps of admission on their way to disk: the next are judged by what these make of the list. */
     private int admitting;
 
@@ -177,6 +182,28 @@
                     .addKeyValue("writable", !store.isBroken()).log("changes could not be stored");
         }
         tickets.forEach(ticket -> ticket.answer().accept(why));
+        if (store.isBroken() && recoveryMs == 0) {
+            recoveryMs = FIRST_RECOVERY_MS;
+            recover();
+        }
+    }
+
+    /** What was acknowledged is what the catalog holds, as every ticket's fate comes here in its order. */
+    private void recover() {
+        loop.schedule(() -> store.recover(catalog.image()), recoveryMs, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void recovered(IOException failure) {
+        if (failure == null) {
+            recoveryMs = 0;
+            LOG.atInfo().addKeyValue("index", catalog.index()).log("writes go on");
+            return;
+        }
+        LOG.atWarn().addKeyValue("why", failure.toString()).addKeyValue("next_ms", recoveryMs)
+                .log("the store can't be recovered yet");
+        recoveryMs = Math.min(MOST_RECOVERY_MS, 2 * recoveryMs);
+        recover();
     }
 
     /** The proxy is told only what is on disk. */
--- a/src/main/java/larkworks/registry/RegistryServer.java
+++ b/src/main/java/larkworks/registry/RegistryServer.java
@@ -61,7 +61,7 @@
  * </pre>
  *
  * Errors are {@code {"error": why}}: 400 a bad call, 404 no such instance or path, 405, 409 a name or address
- * that is taken, 413, 503 no writes until a restart, 507 not kept, try again.
+ * that is taken, 413, 503 no writes until the disk works again, 507 not kept, try again.
  */
 final class RegistryServer {
 
--- a/src/main/java/larkworks/registry/SnapshotFile.java
+++ b/src/main/java/larkworks/registry/SnapshotFile.java
@@ -31,6 +31,11 @@
         Folders.replace(file, Frames.encode(records(image)));
     }
 
+    /** Whether the file, read back, holds just this image. */
+    boolean holds(Catalog.Image image) throws IOException {
+        return Frames.encode(records(read())).equals(Frames.encode(records(image)));
+    }
+
     /** The image as records: the head, then the changes. */
     static List<byte[]> records(Catalog.Image image) {
         List<byte[]> records = new ArrayList<>(image.changes().size() + 1);
--- a/src/main/java/larkworks/registry/Store.java
+++ b/src/main/java/larkworks/registry/Store.java
@@ -32,6 +32,9 @@
 
         /** These are not and will not be, nor is anything granted since; tickets of {@code era} may be. */
         void failed(List<Ticket> tickets, IOException why, long era);
+
+        /** A recovery has ended; null where writes go on. */
+        void recovered(IOException failure);
     }
 
     /**
@@ -43,12 +46,14 @@
      */
     record Ticket(Change change, Consumer<IOException> answer, long era) { }
 
-    private sealed interface Job permits Write, Save, Stop { }
+    private sealed interface Job permits Write, Save, Recover, Stop { }
 
     private record Write(Ticket ticket) implements Job { }
 
     private record Save(Catalog.Image image) implements Job { }
 
+    private record Recover(Catalog.Image image) implements Job { }
+
     private record Stop() implements Job { }
 
     private static final Logger LOG = LoggerFactory.getLogger("registry");
@@ -147,6 +152,16 @@
         jobs.add(new Save(image));
     }
 
+    /**
+     * Writes the catalog down whole and begins a new log, after one that is broken. The owner is told how it
+     * went.
+     *
+     * @param image all that was ever acknowledged
+     */
+    void recover(Catalog.Image image) {
+        jobs.add(new Recover(image));
+    }
+
     /** Whether the log is long enough for a snapshot, and none is being written. */
     boolean snapshotDue() {
         return !saving && logBytes >= snapshotAt;
@@ -162,7 +177,7 @@
         return syncs.get();
     }
 
-    /** Whether nothing can be written until a new start. */
+    /** Whether nothing can be written until a recovery has succeeded. */
     boolean isBroken() {
         return wal.isBroken();
     }
@@ -186,6 +201,8 @@
                 commit(batch);
                 if (job instanceof Save save) {
                     saveNow(save.image());
+                } else if (job instanceof Recover recover) {
+                    recoverNow(recover.image());
                 } else {
                     return;
                 }
@@ -245,6 +262,26 @@
         }
     }
 
+    private void recoverNow(Catalog.Image image) {
+        IOException failure = null;
+        try {
+            if (wal.isBroken()) {
+                snapshot.write(image);
+                if (!snapshot.holds(image)) {
+                    throw new IOException("the snapshot reads otherwise than it was written");
+                }
+                wal = wal.beginAnew(image.index() + 1);
+                lastIndex = image.index();
+                logBytes = 0;
+                snapshotAt = snapshotBytes;
+            }
+        } catch (IOException e) {
+            failure = e;
+        }
+        IOException why = failure;
+        executor.execute(() -> owner.recovered(why));
+    }
+
     /** Writes what waits, and lets another process have the directory. */
     @Override
     public void close() throws IOException {
--- a/src/main/java/larkworks/registry/Wal.java
+++ b/src/main/java/larkworks/registry/Wal.java
@@ -14,14 +14,15 @@
 /**
  * The log of changes: segments {@code wal-INDEX.log}, named for the first change in them, each a row of
  * {@link Frames}. One thread. After a failed write the segment is cut back to its last good frame; where that
- * can't be done, or fsync failed, what is on disk is unknown and nothing more is written.
+ * can't be done, or fsync failed, what is on disk is unknown and nothing more is written to this log: see
+ * {@link #beginAnew}.
  */
 final class Wal implements Closeable {
 
     private static final String PREFIX = "wal-";
     private static final String SUFFIX = ".log";
 
-    /** Writing has failed for good; only a new start, which reads what is there, can go on. */
+    /** Writing has failed such that what is on disk is unknown: this log takes no more. */
     static final class Broken extends IOException {
         private static final long serialVersionUID = 1L;
 
@@ -136,11 +137,23 @@
         try {
             channel.force(false);
         } catch (IOException e) {
-            throw breaks("fsync failed: " + e.getMessage(), e);
+            // Never synced again: the system may count these pages as written. They must not be read as
+            // changes by the next start either, as they are answered as not stored.
+            Broken failure = breaks("fsync failed: " + e.getMessage(), e);
+            cutQuietly();
+            throw failure;
         }
         goodBytes += size;
     }
 
+    private void cutQuietly() {
+        try {
+            channel.truncate(goodBytes);
+        } catch (IOException e) {
+            broken.addSuppressed(e);
+        }
+    }
+
     private void undo(IOException cause) throws Broken {
         try {
             cut(channel, goodBytes);
@@ -171,18 +184,41 @@
             return this;
         }
         Path next = folder.resolve(name(first));
-        FileChannel opened = FileChannel.open(next, StandardOpenOption.READ, StandardOpenOption.WRITE,
+        FileChannel opened = create(next);
+        channel.close();
+        List<Path> before = new ArrayList<>(older);
+        before.add(current);
+        return new Wal(folder, before, next, opened, 0);
+    }
+
+    /**
+     * Begins a new log in place of a broken one, of which nothing is trusted: its segments are deleted. All
+     * that they held must be in a snapshot by now.
+     *
+     * @param first the change that the new log begins with
+     * @throws IOException where this has to be tried again
+     */
+    Wal beginAnew(long first) throws IOException {
+        channel.close();
+        for (Path segment : segments(folder)) {
+            Files.delete(segment);
+        }
+        Path fresh = folder.resolve(name(first));
+        return new Wal(folder, new ArrayList<>(), fresh, create(fresh), 0);
+    }
+
+    private FileChannel create(Path segment) throws IOException {
+        FileChannel opened = FileChannel.open(segment, StandardOpenOption.READ, StandardOpenOption.WRITE,
                 StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING);
         try {
             Folders.sync(folder);
+            return opened;
         } catch (IOException e) {
             opened.close();
+            // An empty segment behind the one that is still written would make that one's torn tail damage.
+            Files.deleteIfExists(segment);
             throw e;
         }
-        channel.close();
-        List<Path> before = new ArrayList<>(older);
-        before.add(current);
-        return new Wal(folder, before, next, opened, 0);
     }
 
     /** Deletes the segments of which every change is at or before {@code index}. */
