Show a keyed request repeated after its window while it connects, known red

The module judges the window when it sends; the first byte goes out once the connection is up, which may take the whole connect time-out more.

--- a/src/test/java/larkworks/proxy/Bench.java
+++ b/src/test/java/larkworks/proxy/Bench.java
@@ -39,6 +39,7 @@
     /** Proxies of the tier. */
     int copies = 1;
     boolean cancel = true;
+    long dedupWindowUs = 30_000_000;
     /** What the proxy's process would find in its environment. */
     Map<String, String> environment = Map.of();
     /** Further lines of the configuration, each with its comma. */
@@ -82,7 +83,7 @@
 
     String config(int listen, String known) {
         String kind = "{\"name\":\"%s\",\"effect\":\"%s\",\"group\":\"all\",\"goalTimeUs\":2000000,"
-                + "\"deadlineUs\":30000000,\"worth\":1.0,\"lateWorth\":0.0,\"dedupWindowUs\":30000000}";
+                + "\"deadlineUs\":30000000,\"worth\":1.0,\"lateWorth\":0.0,\"dedupWindowUs\":" + dedupWindowUs + "}";
         return "{" + more + "\"name\":\"n0\",\"listen\":\"" + HOST + ":" + listen + "\",\"discovery\":"
                 + addresses() + ",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
                 + "\"memory_mb\":192,\"sockets\":" + sockets + "},\"known\":" + known + ",\"settings\":{"
--- /dev/null
+++ b/src/test/java/larkworks/proxy/RepeatWindowTest.java
@@ -0,0 +1,40 @@
+package larkworks.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A keyed request's repeat waits for its connection while the key's window passes. */
+@Timeout(60)
+class RepeatWindowTest {
+
+    private static final long WINDOW_US = 600_000;
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void aRepeatWhoseConnectionComesUpAfterItsKeysWindowIsNotSent() throws Exception {
+        try (Bench bench = new Bench(1); Hanging late = new Hanging()) {
+            bench.dedupWindowUs = WINDOW_US;
+            bench.start(folder);
+            bench.discovery.next().reply(200, bench.all(1));
+            Peer.Message watch = bench.discovery.next();
+            Bench.Client client = bench.client().post("pay", "r1", "x", "Idempotency-Key: k1\r\n");
+            Peer.Message first = bench.backends.get(0).next();
+            watch.reply(200, Bench.list(2, false, Bench.entry("late", late.address(), "in_service")));
+            bench.discovery.next();
+            first.reset();
+            // The system tries the connection again after a second.
+            Thread.sleep(WINDOW_US / 1000);
+            Socket connection = late.accept();
+            assertTrue(Hanging.silent(connection), "a byte came after the window");
+            assertEquals(503, client.status());
+        }
+    }
+}
