--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -837,8 +837,8 @@
         invariants.check(!pending.answered() && pending.client.open(), Rule.ATTEMPT_FOR_WAITING_CLIENT, id,
                 state);
         invariants.check(backend.status == ServerStatus.UP
-                || now <= backend.downSinceUs + settings.rules().drainGraceUs(), Rule.ATTEMPT_WITHIN_GRACE, id,
-                state);
+                || now <= backend.downSinceUs + settings.rules().drainGraceUs(),
+                Rule.ATTEMPT_WITHIN_GRACE, id, state);
         invariants.check(SendGuard.repeatsSafely(attempt, kind, now - HELD_UP_US), Rule.REPEATED_SAFELY, id,
                 state);
         invariants.check(pending.uploading() || leftMs * 1000 <= pending.deadlineUs - now + HELD_UP_US,
--- a/src/main/java/larkworks/proxy/Invariants.java
+++ b/src/main/java/larkworks/proxy/Invariants.java
@@ -21,7 +21,7 @@
         ATTEMPT_FOR_WAITING_CLIENT,
         /** No attempt begins at a server past the grace of its drain. */
         ATTEMPT_WITHIN_GRACE,
-        /** A request that may not run twice begins only where each earlier attempt is known not to have run. */
+        /** A request that may not run twice begins where each earlier attempt is known not to have run. */
         REPEATED_SAFELY,
         /** An attempt tells its server no more time than its client has left. */
         DEADLINE_PASSED_ON,
--- a/src/main/java/larkworks/proxy/SendGuard.java
+++ b/src/main/java/larkworks/proxy/SendGuard.java
@@ -21,7 +21,8 @@
      * @param barred whether nothing may begin at its server any more
      * @param leftMs what it would tell its server
      */
-    static Verdict judge(UpstreamAttempt attempt, RequestClass kind, boolean barred, long leftMs, long nowUs) {
+    static Verdict judge(UpstreamAttempt attempt, RequestClass kind, boolean barred, long leftMs,
+            long nowUs) {
         if (attempt.ended) {
             return Verdict.ATTEMPT_ENDED;
         }
--- a/src/test/java/larkworks/registry/DiskFaultsTest.java
+++ b/src/test/java/larkworks/registry/DiskFaultsTest.java
@@ -68,7 +68,8 @@
 
     @ParameterizedTest
     @ValueSource(strings = {"fsync=EIO,3000-4500", "fsync=EIO#5", "write=ENOSPC,3000-4500",
-        "write=EIO,3000-4500", "truncate=EIO;write=ENOSPC,3000-4500", "rename=EIO,3000-4500;fsync=EIO,3500-4500"})
+        "write=EIO,3000-4500", "truncate=EIO;write=ENOSPC,3000-4500",
+        "rename=EIO,3000-4500;fsync=EIO,3500-4500"})
     void writesGoOnByThemselvesOnceTheDiskWorksAgain(String rules) throws Exception {
         Path data = folder.resolve("data");
         Told told = new Told();
