--- a/src/test/java/larkworks/proxy/AdminTest.java
+++ b/src/test/java/larkworks/proxy/AdminTest.java
@@ -241,6 +241,20 @@
         assertEquals(1, bench.served());
     }
 
+    @Test
+    void startsThoughItsFolderCantBeHadAtFirstAndKeepsCallsOnceItCan() throws Exception {
+        Path state = Files.writeString(folder.resolve("state"), "a file where the folder should be");
+        bench.environment = Map.of("GW_ADMIN_ADDR", Bench.HOST + ":" + admin, "TMPDIR", state.toString());
+        start();
+        assertEquals(500, backend("down", "b0"), "the call would not outlive this process");
+        Files.delete(state);
+        long until = System.nanoTime() + Peer.LIMIT_S * 1_000_000_000L;
+        while (backend("down", "b0") != 200 && System.nanoTime() < until) {
+            Thread.sleep(20);
+        }
+        assertEquals(1, bench.served());
+    }
+
     @Test
     void anAddressThatCanNotBeUsedFailsTheStart() throws Exception {
         Path file = Files.writeString(folder.resolve("c.json"), bench.config(0, "null"));
