Start, and keep operators' calls later, where the lasting folder can't be had for a moment

Cause: Maintenance's constructor threw where its folder or its lock file could not be made, and Main ended the start with it. The folder is now opened at each look and each call until it can be had; a call before that is answered 500, as it would not outlive the process. Also: an attempt's outcome stands in a request's state, and a refusal is logged with it at level debug.

--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -854,6 +854,10 @@
     private void refuse(String request, long retryAfterUs) {
         PendingRequest pending = requests.get(request);
         if (pending != null && !pending.answered()) {
+            if (LOG.isDebugEnabled()) {
+                LOG.atDebug().addKeyValue("request", pending.inbound.callId())
+                        .addKeyValue("state", pending.state(clock.nowUs())).log("request refused");
+            }
             finish(pending, Meters.Result.REFUSED);
             pending.client.refused(retryAfterUs, delivery(pending));
         }
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -158,7 +158,7 @@
     void start() throws Unusable, InterruptedException {
         boolean shared = config.admin() != null;
         long listByNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIST_WAIT_MS);
-        maintenance = shared ? maintenance() : null;
+        maintenance = shared ? new Maintenance(config, loop, driver, sockets) : null;
         loop.submit(() -> {
             driver.listChanged(ListKind.REMEMBERED,
                     config.known() == null ? List.of() : config.known().entries(),
@@ -227,14 +227,6 @@
         return tables;
     }
 
-    private Maintenance maintenance() throws Unusable {
-        try {
-            return new Maintenance(config, loop, driver, sockets);
-        } catch (IOException e) {
-            throw new Unusable("TMPDIR", List.of("calls about backends can't be kept: " + e));
-        }
-    }
-
     /** Listens; where the system has no socket for a moment, that must not end the start. */
     private static Channel listen(Supplier<ChannelFuture> binding, InetSocketAddress address)
             throws Unusable, InterruptedException {
--- a/src/main/java/larkworks/proxy/Maintenance.java
+++ b/src/main/java/larkworks/proxy/Maintenance.java
@@ -29,20 +29,30 @@
     private final Driver driver;
     private final Sockets sockets;
     private final long pauseUs;
-    /** Null where no folder outlives this process: calls then hold as long as it lives. */
-    private final Absences kept;
+    private final InetSocketAddress listen;
+    /** Outlives this process; null where none does: calls then hold as long as it lives. */
+    private final Path state;
+    /** Null until the folder can be had: a disk may fail for a while, which must not end the start. */
+    private Absences kept;
     /** Null likewise. */
-    private final Presence presence;
+    private Presence presence;
     private boolean failing;
 
-    Maintenance(Config config, EventLoop loop, Driver driver, Sockets sockets) throws IOException {
+    Maintenance(Config config, EventLoop loop, Driver driver, Sockets sockets) {
         this.loop = loop;
         this.driver = driver;
         this.sockets = sockets;
         this.pauseUs = Math.max(LEAST_PAUSE_US, config.settings().rules().drainGraceUs() / LOOKS_IN_GRACE);
-        Path folder = config.state() == null ? null : folder(config.state(), config.listen());
-        this.kept = folder == null ? null : new Absences(folder);
-        this.presence = folder == null ? null : new Presence(folder);
+        this.listen = config.listen();
+        this.state = config.state();
+    }
+
+    private void open() throws IOException {
+        if (kept == null) {
+            Path folder = folder(state, listen);
+            presence = new Presence(folder);
+            kept = new Absences(folder);
+        }
     }
 
     /** Each proxy has a folder of its own, by the address it listens on. */
@@ -53,7 +63,7 @@
 
     /** Takes up what was called before; to be run on the loop, before the first request. */
     void start() {
-        if (kept == null) {
+        if (state == null) {
             LOG.warn("TMPDIR is not set, calls about backends end with this process");
             return;
         }
@@ -69,6 +79,7 @@
 
     private void look() {
         try {
+            open();
             sockets.share(presence.accompanied());
             Set<String> told = kept.read();
             told.forEach(backend -> driver.maintenance(backend, true));
@@ -93,6 +104,9 @@
             return Result.UNKNOWN;
         }
         try {
+            if (state != null) {
+                open();
+            }
             if (kept != null && leave) {
                 kept.add(backend);
             } else if (kept != null) {
--- a/src/main/java/larkworks/proxy/UpstreamAttempt.java
+++ b/src/main/java/larkworks/proxy/UpstreamAttempt.java
@@ -70,7 +70,7 @@
 
     /** How far it has come, in a word for the log. */
     String state() {
-        return ended ? "ended" : begun() ? "sent" : "connecting";
+        return ended ? String.valueOf(outcome) : begun() ? "sent" : "connecting";
     }
 
     @Override
