--- a/src/test/java/larkworks/soak/SoakSettings.java
+++ b/src/test/java/larkworks/soak/SoakSettings.java
@@ -14,9 +14,16 @@
  * @param pushed whether discovery tells lists unasked
  * @param probePrice as the settings name it
  * @param troubles how many are drawn; 0 for none
+ * @param copies how many proxies the settings tell of, of which only some may be there
  */
 record SoakSettings(long seed, int proxies, int servers, int seconds, double perSecond,
-        SoakClient.Habits habits, boolean pushed, double probePrice, int troubles) {
+        SoakClient.Habits habits, boolean pushed, double probePrice, int troubles, int copies) {
+
+    /** Settings that tell of just the proxies that there are. */
+    SoakSettings(long seed, int proxies, int servers, int seconds, double perSecond,
+            SoakClient.Habits habits, boolean pushed, double probePrice, int troubles) {
+        this(seed, proxies, servers, seconds, perSecond, habits, pushed, probePrice, troubles, proxies);
+    }
 
     static final long DRAIN_GRACE_US = 1_000_000;
     static final long DEDUP_WINDOW_US = 4_000_000;
@@ -35,7 +42,7 @@
         return "{\"name\":\"n" + number + "\",\"listen\":\"" + address.getAddress().getHostAddress() + ":"
                 + address.getPort() + "\",\"discovery\":\"" + discovery + "\",\"seed\":\""
                 + Long.toHexString(seed * 31 + number) + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,"
-                + "\"sockets\":256},\"known\":" + known + ",\"settings\":{\"balancers\":" + proxies
+                + "\"sockets\":256},\"known\":" + known + ",\"settings\":{\"balancers\":" + copies
                 + ",\"categories\":[" + String.format(kind, "look", "pure") + ","
                 + String.format(kind, "pay", "token") + "," + String.format(kind, "act", "side_effect")
                 + "],\"dcs\":[\"a\"],\"discovery\":\"" + (pushed ? "pushed" : "on_request")
