Take turns among a part of a large fleet also where probes are worth their price

Cause: Logic.chooseSubset took all servers whenever probes were worth their price, so that a copy's turns went round all of a large fleet, and connections closed before they were met again. Now such a copy takes turns among 48 servers at least (10 without probes), or four times the servers a copy if that is more, by the same arcs, which load all servers alike; fleets of up to 48 servers are as before.

--- a/src/main/java/larkworks/Logic.java
+++ b/src/main/java/larkworks/Logic.java
@@ -89,6 +89,11 @@
     private static final double BEGUN_FREE = 1;
     /** Servers that a copy takes turns among: enough that most stay when some fail together. */
     private static final int SUBSET = 10;
+    /**
+     * The same where calls can ask for loads: a larger choice finds an idle server sooner, and is still met
+     * again before its idle connections grow old.
+     */
+    private static final int PROBED_SUBSET = 48;
     /** Copies that must share each server before a subset will do: with fewer, loads would be uneven. */
     private static final int COVER = 4;
     /** A server brought back gets its first turn by then: half of the 5 s after which it is missed. */
@@ -280,13 +285,14 @@
      * nothing of each server, and tie a connection to every one. All copies see the same ring of servers, in
      * the order of a hash; each takes the arc from its own part of the ring on, and of a server across its
      * end part of the turns: all of a size serve as many copies, and one that comes or goes shifts an arc by
-     * a place. Acts where the fleet is large and copies are many, unless each call can ask for loads.
+     * a place. Acts where the fleet is large and copies are many; later where each call can ask for loads.
      */
     private void chooseSubset() {
         subset.clear();
         turns = servers.size();
-        int wanted = Math.max(SUBSET, COVER * servers.size() / settings.copies());
-        if (probesEarned > 0 || wanted >= servers.size()) {
+        int wanted = Math.max(probesEarned > 0 ? PROBED_SUBSET : SUBSET,
+                COVER * servers.size() / settings.copies());
+        if (wanted >= servers.size()) {
             subset.addAll(servers);
             servers.forEach(s -> s.part = 1);
             return;
