--- /dev/null
+++ b/src/test/java/larkworks/ModuleShapeTest.java
@@ -0,0 +1,62 @@
+package larkworks;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The module's files, as the deploy file names them: all there are, none too long, no I/O and no clock. */
+class ModuleShapeTest {
+
+    private static final Path FOLDER = Path.of("src/main/java/larkworks");
+    /** Types and checks that the module's callers share with it; they decide nothing. */
+    private static final Set<String> SHARED = Set.of("Balancer.java", "SettingsCheck.java",
+            "package-info.java");
+    private static final int MOST_LINES = 1_200;
+    private static final Pattern OUTSIDE = Pattern.compile("java\\.(io|nio|net|time)|io\\.netty|org\\.slf4j"
+            + "|\\bSystem\\.|\\bThread\\b|Math\\.random|larkworks\\.[a-z]+\\.");
+
+    private static List<Path> named() throws IOException {
+        String policy = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("policy = ")).findFirst().orElseThrow();
+        return Pattern.compile("\"([^\"]+)\"").matcher(policy).results().map(found -> Path.of(found.group(1)))
+                .toList();
+    }
+
+    @Test
+    void theDeployFileNamesAllFilesThatDecide() throws IOException {
+        try (Stream<Path> files = Files.list(FOLDER)) {
+            Set<Path> deciding = files.filter(Files::isRegularFile)
+                    .filter(file -> !SHARED.contains(file.getFileName().toString()))
+                    .collect(Collectors.toCollection(TreeSet::new));
+            assertEquals(deciding, new TreeSet<>(named()));
+        }
+    }
+
+    @Test
+    void noFileOfTheModuleIsTooLongToRead() throws IOException {
+        for (Path file : named()) {
+            long lines = Files.readAllLines(file).stream().filter(line -> !line.isBlank()).count();
+            assertTrue(lines > 0 && lines <= MOST_LINES, file + " has " + lines + " lines");
+        }
+    }
+
+    @Test
+    void theModuleHasNoInputOutputNorClock() throws IOException {
+        for (Path file : named()) {
+            Matcher found = OUTSIDE.matcher(Files.readString(file));
+            assertFalse(found.find(), () -> file + ": " + found.group());
+        }
+    }
+}
