Drop a figure of the invariants that nobody asks for

Invariants.violations() had no caller: metrics count each violation as it comes, tests ask for the sum.

--- a/src/main/java/larkworks/proxy/Invariants.java
+++ b/src/main/java/larkworks/proxy/Invariants.java
@@ -66,9 +66,4 @@
     long count() {
         return violations.values().stream().mapToLong(n -> n).sum();
     }
-
-    /** Violations so far, by rule. */
-    Map<Rule, Long> violations() {
-        return Map.copyOf(violations);
-    }
 }
