--- a/review/standins/Backend.java
+++ b/review/standins/Backend.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A backend of the protocol page: one request at a time on a connection, load reports in all answers. */
@@ -15,15 +16,41 @@
         byte[] answer(Backend backend, Http.Message request) throws IOException;
     }
 
+    /** Decides which connections the backend resets. */
+    interface Resets {
+        /** Returns after how many microseconds a new connection is reset; negative for never. */
+        default long resetAfterUs(Backend backend) {
+            return -1;
+        }
+
+        /**
+         * Decides at the first bytes of each message but a probe's whether the connection is reset.
+         *
+         * @param kept whether the connection has carried a message before
+         */
+        default boolean resetNow(Backend backend, boolean kept) {
+            return false;
+        }
+    }
+
+    /** The start of each probe; everything else is a client's request. */
+    private static final byte[] PROBE = Http.bytes("GET /stats");
+
     final String name;
     private final ServerSocket listener;
     private final Work work;
+    private final Resets resets;
     private final AtomicInteger inWork = new AtomicInteger();
     private volatile long standsStillUntilNs = System.nanoTime();
 
     Backend(String name, Work work) throws IOException {
+        this(name, work, new Resets() { });
+    }
+
+    Backend(String name, Work work, Resets resets) throws IOException {
         this.name = name;
         this.work = work;
+        this.resets = resets;
         listener = new ServerSocket(0, 128, InetAddress.getByName("127.0.0.1"));
         Record.thread(name, this::accept);
     }
@@ -58,8 +85,22 @@
 
     private void serve(Socket socket) {
         try (socket) {
+            long resetAfterUs = resets.resetAfterUs(this);
+            if (resetAfterUs >= 0) {
+                awaitUs(resetAfterUs);
+                socket.setSoLinger(true, 0);
+                return;
+            }
             InputStream in = new BufferedInputStream(socket.getInputStream(), 1 << 16);
-            for (Http.Message request = Http.read(in); request != null; request = Http.read(in)) {
+            for (boolean kept = false; ; kept = true) {
+                if (!startsWithProbe(in) && resets.resetNow(this, kept)) {
+                    socket.setSoLinger(true, 0);
+                    return;
+                }
+                Http.Message request = Http.read(in);
+                if (request == null) {
+                    return;
+                }
                 awaitMoving();
                 byte[] answer = request.startLine.startsWith("GET /stats ") ? probed() : worked(request);
                 awaitMoving();
@@ -70,6 +111,22 @@
         }
     }
 
+    /** Waits more exactly than a sleep does. */
+    private static void awaitUs(long us) {
+        long untilNs = System.nanoTime() + us * 1_000;
+        while (System.nanoTime() - untilNs < 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Returns whether the next message is a probe; waits for its first bytes. */
+    private static boolean startsWithProbe(InputStream in) throws IOException {
+        in.mark(PROBE.length);
+        byte[] start = in.readNBytes(PROBE.length);
+        in.reset();
+        return start.length == 0 || Arrays.equals(start, PROBE);
+    }
+
     /** Returns the names and values of the load report. */
     String report() {
         return "inflight=" + inWork.get() + ",queue=0,util=0.2";
--- a/review/standins/Proxy.java
+++ b/review/standins/Proxy.java
@@ -24,9 +24,10 @@
      * Starts the program and waits until it is ready.
      *
      * @param root the root of the repository
+     * @param probePrice the price of probes in the settings; the wire page's example has 0.002
      * @param classes the request classes, as {@link #requestClass} gives them
      */
-    Proxy(Path root, Record record, Discovery discovery, String... classes)
+    Proxy(Path root, Record record, Discovery discovery, double probePrice, String... classes)
             throws IOException, InterruptedException {
         Matcher run = RUN.matcher(Files.readString(root.resolve("deploy/balancer.toml")));
         if (!run.find()) {
@@ -35,7 +36,7 @@
         port = freePort();
         Path folder = Files.createTempDirectory("review");
         Path config = folder.resolve("config.json");
-        Files.writeString(config, config(port, discovery, String.join(",", classes)));
+        Files.writeString(config, config(port, discovery, probePrice, String.join(",", classes)));
         Path state = Files.createDirectory(folder.resolve("state"));
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run.group(1)).directory(root.toFile())
                 .redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
@@ -93,7 +94,8 @@
     }
 
     /** Returns a configuration for one proxy; its settings are those of the wire page's example. */
-    private static String config(int port, Discovery discovery, String classes) throws InterruptedException {
+    private static String config(int port, Discovery discovery, double probePrice, String classes)
+            throws InterruptedException {
         return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
                 + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\","
                 + "\"limits\":{\"cores\":1.0,\"memory_mb\":144,\"sockets\":384},\"known\":"
@@ -101,7 +103,7 @@
                 + "\"clientHabits\":{\"marksRetry\":true},\"dcs\":[\"a\"],\"discovery\":\"on_request\","
                 + "\"family\":\"chain\",\"familyInfo\":{\"passesDeadline\":false},\"fees\":{\"connection\":0.0,"
                 + "\"crossZone\":0.005,\"discovery\":0.0,\"handshake\":0.0,\"lateFail\":0.048,\"moves\":0.0,"
-                + "\"origin\":0.0,\"peer\":0.0091,\"probe\":0.002,\"waste\":0.064},\"goal\":{\"whole\":0.55,"
+                + "\"origin\":0.0,\"peer\":0.0091,\"probe\":" + probePrice + ",\"waste\":0.064},\"goal\":{\"whole\":0.55,"
                 + "\"worstClass\":0.3,\"worstTenant\":0.0,\"worstWindow\":0.15},\"layer\":0,"
                 + "\"layers\":[\"front\",\"kurs\"],\"limits\":{\"cancel\":true,\"connectTimeoutUs\":150000,"
                 + "\"cpuUsPerRequest\":0.0,\"cpuUsPerS\":500000,\"keepaliveUs\":10000000,\"maxAttempts\":3,"
