--- a/review/standins/HedgedUpload.java
+++ b/review/standins/HedgedUpload.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 1: clients post bodies of 100,000 bytes of a class that may be repeated with its key, and one backend
+ * Clients post bodies of 100,000 bytes of a class that may be repeated with its key, and one backend
  * in four stands still for 280 ms while it works on one. A backend may get a request only with the body that
  * its client sent.
  */
@@ -42,7 +42,7 @@
             backends.add(new Backend("s-" + i, this::work));
         }
         Discovery discovery = new Discovery(backends);
-        Proxy proxy = new Proxy(root, record, discovery, Proxy.requestClass("kurs-les", "pure"),
+        Proxy proxy = new Proxy(root, record, discovery, 0.002, Proxy.requestClass("kurs-les", "pure"),
                 Proxy.requestClass("varsel-ny", "token"));
         for (int i = 0; i < 40; i++) {
             read(proxy);
