--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -8,6 +8,8 @@
     private static final int HELD = 0;
     private static final int BROKEN = 1;
     private static final int COULD_NOT_RUN = 2;
+    /** A case that has not ended by then is ended as one that could not run. */
+    private static final long LONGEST_MS = 116_000;
 
     /** Whether the disruption takes place; it does unless TROUBLE is 0. */
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -26,6 +28,11 @@
         root = Path.of(arguments[0]);
         record = new Record(Path.of(arguments[1], "record.txt"));
         record.note(trouble ? "with the disruption" : "without the disruption");
+        Record.thread("longest", () -> {
+            Record.sleep(LONGEST_MS);
+            record.note("the case took too long");
+            System.exit(COULD_NOT_RUN);
+        });
         int code;
         String result;
         try {
