--- a/review/standins/Http.java
+++ b/review/standins/Http.java
@@ -55,6 +55,19 @@
                 + "\r\nX-Call-Class: " + requestClass + "\r\nX-Budget-Ms: " + budgetMs + "\r\n";
     }
 
+    /** Returns a body in the chunked transfer coding. */
+    static byte[] chunked(byte[] body, int chunkBytes) {
+        ByteArrayOutputStream coded = new ByteArrayOutputStream(body.length + body.length / 8);
+        for (int at = 0; at < body.length; at += chunkBytes) {
+            int size = Math.min(chunkBytes, body.length - at);
+            coded.writeBytes(bytes(Integer.toHexString(size) + "\r\n"));
+            coded.write(body, at, size);
+            coded.writeBytes(bytes("\r\n"));
+        }
+        coded.writeBytes(bytes("0\r\n\r\n"));
+        return coded.toByteArray();
+    }
+
     /** Reads the next message; returns null if the stream ends before it. */
     static Message read(InputStream in) throws IOException {
         String startLine = line(in);
--- a/review/standins/TruncatedUpload.java
+++ b/review/standins/TruncatedUpload.java
@@ -1,6 +1,5 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -8,29 +7,33 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Clients post chunked bodies of 400,000 bytes of a class that must never run twice. Now and then a backend
- * resets a kept connection as soon as the next such request begins on it. A backend may get a request only
+ * Clients post chunked bodies of 1,000,000 bytes of a class that must never run twice. At every fourth post a
+ * backend resets the kept connection on which it begins. A backend may get a request only
  * with the body that its client sent.
  */
 final class TruncatedUpload extends Case {
 
     private static final int BACKENDS = 4;
-    private static final int POSTS = 120;
-    private static final int BODY_BYTES = 4_000_000;
+    private static final int CLIENTS = 3;
+    private static final int POSTS_EACH = 80;
+    private static final int BODY_BYTES = 1_000_000;
+    private static final int CHUNK_BYTES = 1_000;
     private static final long WORK_MS = 20;
-    private static final long PAUSE_MS = 500;
+    private static final long PAUSE_MS = 400;
     /** A post in so many is due to be reset. */
     private static final int RESET_EVERY = 4;
 
     /** The bodies that clients sent, by id. */
     private final Map<String, byte[]> sent = new ConcurrentHashMap<>();
     private final AtomicInteger breaks = new AtomicInteger();
-    private final Random random = new Random(11);
-    /** Whether the next post that begins on a kept connection is reset. */
-    private volatile boolean resetDue;
+    private final AtomicInteger posts = new AtomicInteger();
+    /** How many of the next posts that begin on kept connections are reset. */
+    private final AtomicInteger resetsDue = new AtomicInteger();
 
     public static void main(String[] arguments) throws IOException {
         new TruncatedUpload().runAndExit(arguments);
@@ -45,11 +48,21 @@
         Discovery discovery = new Discovery(backends);
         Proxy proxy = new Proxy(root, record, discovery, 0.01, Proxy.requestClass("kurs-les", "pure"),
                 Proxy.requestClass("varsel-ny", "side_effect"));
-        for (int i = 0; i < POSTS; i++) {
-            resetDue = trouble && i % RESET_EVERY == RESET_EVERY - 1;
-            post(proxy);
-            Record.sleep(PAUSE_MS);
+        CountDownLatch ended = new CountDownLatch(CLIENTS);
+        for (int i = 0; i < CLIENTS; i++) {
+            Random random = new Random(i);
+            Record.thread("client", () -> {
+                for (int j = 0; j < POSTS_EACH; j++) {
+                    if (trouble && posts.incrementAndGet() % RESET_EVERY == 0) {
+                        resetsDue.incrementAndGet();
+                    }
+                    post(proxy, random);
+                    Record.sleep(PAUSE_MS);
+                }
+                ended.countDown();
+            });
         }
+        ended.await(100, TimeUnit.SECONDS);
         proxy.end();
         return breaks.get();
     }
@@ -58,9 +71,8 @@
     private final Backend.Resets resets = new Backend.Resets() {
         @Override
         public boolean resetNow(Backend backend, boolean kept) {
-            boolean now = kept && resetDue;
+            boolean now = kept && resetsDue.getAndUpdate(due -> Math.max(0, due - 1)) > 0;
             if (now) {
-                resetDue = false;
                 record.note(backend.name + " resets the connection of a request that has begun");
             }
             return now;
@@ -82,7 +94,7 @@
         return Http.answer("200 OK", "X-Load-Report: " + backend.report() + "\r\n", Http.bytes("done " + id));
     }
 
-    private void post(Proxy proxy) {
+    private void post(Proxy proxy, Random random) {
         byte[] body = new byte[BODY_BYTES];
         random.nextBytes(body);
         String id = String.format("%016x", random.nextLong());
@@ -91,11 +103,9 @@
             socket.setSoTimeout(3_000);
             socket.getOutputStream().write(Http.join(
                     Http.bytes(Http.requestHead("POST", "varsel-ny", id, 820)
-                            + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length) + "\r\n"),
-                    body, Http.bytes("\r\n0\r\n\r\n")));
+                            + "Transfer-Encoding: chunked\r\n\r\n"), Http.chunked(body, CHUNK_BYTES)));
             record.note("client sent " + id + " with " + body.length + " bytes of body");
-            InputStream in = new BufferedInputStream(socket.getInputStream());
-            Http.Message answer = Http.read(in);
+            Http.Message answer = Http.read(new BufferedInputStream(socket.getInputStream()));
             record.note("client got for " + id + ": "
                     + (answer == null ? "the end" : answer.startLine + " " + new String(answer.body)));
         } catch (IOException e) {
