--- a/review/standins/Backend.java
+++ b/review/standins/Backend.java
@@ -1,6 +1,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -14,6 +15,9 @@
     interface Work {
         /** Returns the whole answer. */
         byte[] answer(Backend backend, Http.Message request) throws IOException;
+
+        /** Called once the answer has been written; may write more to the connection. */
+        default void answered(Backend backend, byte[] answer, OutputStream out) throws IOException { }
     }
 
     /** Decides which connections the backend resets. */
@@ -102,9 +106,13 @@
                     return;
                 }
                 awaitMoving();
-                byte[] answer = request.startLine.startsWith("GET /stats ") ? probed() : worked(request);
+                boolean probe = request.startLine.startsWith("GET /stats ");
+                byte[] answer = probe ? probed() : worked(request);
                 awaitMoving();
                 socket.getOutputStream().write(answer);
+                if (!probe) {
+                    work.answered(this, answer, socket.getOutputStream());
+                }
             }
         } catch (IOException e) {
             // The proxy closed the connection.
