--- a/review/standins/Proxy.java
+++ b/review/standins/Proxy.java
@@ -5,10 +5,12 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /** The program under review as a process of its own, started by the deploy file's command. */
 final class Proxy {
@@ -45,7 +47,14 @@
                 state.toString()));
         process = builder.start();
         // Also if the case itself is ended early.
-        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            try {
+                end();
+                remove(folder);
+            } catch (IOException | InterruptedException e) {
+                System.err.println("left behind: " + folder);
+            }
+        }));
         long untilMs = Record.ms() + READY_TIMEOUT_MS;
         while (!isReady()) {
             if (Record.ms() > untilMs || !process.isAlive()) {
@@ -56,6 +65,14 @@
         record.note("the proxy is ready, process " + process.pid());
     }
 
+    private static void remove(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
     private static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return socket.getLocalPort();
