Keep a failed write from ending the next attempt of a large body

Cause: Upload kept the listener of the current attempt in a field. A flush that fails at once, as on a connection that was just reset, notifies the failed write's listener before it returns: that ends attempt 0, and where a kept connection is free attempt 1 is attached and written whole within the same call. Upload.writeEnd then gave the old, failed write to the field's listener, by now attempt 1's. So attempt 1 counted as never written (CONNECT_FAILED, "never ran"), and attempt 2 was allowed. Related, same cause: a write that fails on a channel that is closed already went on for the attempt that had taken its place: its position was overwritten, and it was sent a second end.

Change: what belongs to an attempt's transfer (channel, listener) is kept in one object for that attempt, Upload.Transfer; a write whose attempt has ended stops there. Looked at for the same: BackendPool.Exchange, Frontend's answers, LingeringClose and Discovery bind their listeners to values of their own.

Evidence: UploadRetryTest, a channel whose write fails at once. Before: failedWriteOfOneAttemptDoesNotFailTheNextAttempt "expected: <OK> but was: <CONNECT_FAILED>" though the backend had the whole body, and sendsBodyOnceToNextBackendIfTheFirstOnesConnectionIsClosed "something was written after the end of the body". After: both pass, and LargeBodyTest (36) and BackendPoolTest (26) as before.

--- a/src/main/java/larkworks/proxy/Upload.java
+++ b/src/main/java/larkworks/proxy/Upload.java
@@ -38,6 +38,40 @@
         }
     }
 
+    /**
+     * The transfer of the body on one attempt's channel. It keeps what belongs to that attempt, since a write
+     * that fails at once ends the attempt, and the next one may be attached before that write returns.
+     */
+    private final class Transfer {
+        private final Channel channel;
+        /** Notified when the last byte was written to the channel or a write has failed. */
+        private final ChannelFutureListener onWritten;
+
+        Transfer(Channel channel, ChannelFutureListener onWritten) {
+            this.channel = channel;
+            this.onWritten = onWritten;
+        }
+
+        /** Returns whether the body is still to be sent on this channel. */
+        boolean isCurrent() {
+            return transfer == this;
+        }
+
+        /** Writes a part. A failed write notifies {@link #onWritten}, before the channel's close is seen. */
+        ChannelFuture write(ByteBuf part) {
+            return channel.write(new DefaultHttpContent(part)).addListener((ChannelFuture done) -> {
+                if (!done.isSuccess()) {
+                    onWritten.operationComplete(done);
+                }
+            });
+        }
+
+        /** Writes the end of the body. */
+        void writeEnd() {
+            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(onWritten);
+        }
+    }
+
     private final Channel client;
     private final WriteBufferShares writeBufferShares;
     /** The body's length as given by the client; negative for a chunked body. */
@@ -48,9 +82,8 @@
     private int sentBytes;
     /** The latest write of buffered bytes, or null. */
     private ChannelFuture lastBufferedWrite;
-    private Channel backend;
-    /** Notified when the last byte was written to the current backend or a write has failed. */
-    private ChannelFutureListener onWritten;
+    /** The transfer of the body to the current backend; null while no backend is attached. */
+    private Transfer transfer;
     /** The last part, until it is known that the client didn't close its connection behind it; else null. */
     private ByteBuf lastPart;
     /** Whether the client has sent the whole body. */
@@ -99,8 +132,7 @@
      * @param writeListener notified when the last byte was written or a write has failed
      */
     void attach(Channel channel, ChannelFutureListener writeListener) {
-        backend = channel;
-        onWritten = writeListener;
+        transfer = new Transfer(channel, writeListener);
         writeBufferShares.add(channel);
         writeBuffered();
         updateReading();
@@ -108,9 +140,9 @@
 
     /** Stops sending the body on this channel; has no effect if the body is not being sent on it. */
     void detach(Channel channel) {
-        if (backend == channel && channel != null) {
+        if (transfer != null && transfer.channel == channel) {
             writeBufferShares.remove(channel);
-            backend = null;
+            transfer = null;
             sentBytes = 0;
             updateReading();
         }
@@ -118,19 +150,19 @@
 
     /** Returns whether no backend is attached, so that received bytes are buffered. */
     boolean isWaitingForBackend() {
-        return backend == null && buffered != null && !discarded;
+        return transfer == null && buffered != null && !discarded;
     }
 
     /** Takes ownership of the next part of the body. */
     void addPart(ByteBuf content) {
-        if (discarded || buffered == null && backend == null) {
+        if (discarded || buffered == null && transfer == null) {
             content.release();
         } else if (buffered != null) {
             buffered.writeBytes(content);
             content.release();
             writeBuffered();
         } else {
-            write(content);
+            transfer.write(content);
         }
         updateReading();
     }
@@ -145,15 +177,15 @@
         addPart(lastPart);
         lastPart = null;
         complete = true;
-        if (backend != null) {
-            writeEnd();
+        if (transfer != null) {
+            transfer.writeEnd();
         }
     }
 
     /** Flushes the writes to the backend; to be called after each batch of reads from the client. */
     void flush() {
-        if (backend != null) {
-            backend.flush();
+        if (transfer != null) {
+            transfer.channel.flush();
         }
     }
 
@@ -176,7 +208,7 @@
         if (discarded) {
             return;
         }
-        boolean writable = backend == null || backend.isWritable();
+        boolean writable = transfer == null || transfer.channel.isWritable();
         if (writable && readingPaused) {
             earlierPausesNs += System.nanoTime() - pauseStartNs;
         } else if (!writable && !readingPaused) {
@@ -198,15 +230,22 @@
 
     /** Writes the buffered bytes that the current backend has not been sent yet. */
     private void writeBuffered() {
-        if (backend == null || buffered == null) {
+        if (transfer == null || buffered == null) {
             return;
         }
-        if (sentBytes < buffered.writerIndex()) {
-            lastBufferedWrite = write(buffered.retainedSlice(sentBytes, buffered.writerIndex() - sentBytes));
-            sentBytes = buffered.writerIndex();
+        Transfer current = transfer;
+        int from = sentBytes;
+        sentBytes = buffered.writerIndex();
+        if (from < sentBytes) {
+            ChannelFuture write = current.write(buffered.retainedSlice(from, sentBytes - from));
+            if (!current.isCurrent()) {
+                // The write has failed, which ended the attempt.
+                return;
+            }
+            lastBufferedWrite = write;
         }
         if (complete) {
-            writeEnd();
+            current.writeEnd();
         } else if (sentBytes > BackendPool.MAX_BUFFERED_BODY_BYTES) {
             releaseBuffered();
             onNotRepeatable.run();
@@ -214,20 +253,6 @@
         flush();
     }
 
-    /** Writes a part. A failed write notifies {@link #onWritten}, before the channel's close is seen. */
-    private ChannelFuture write(ByteBuf part) {
-        ChannelFutureListener listener = onWritten;
-        return backend.write(new DefaultHttpContent(part)).addListener((ChannelFuture done) -> {
-            if (!done.isSuccess()) {
-                listener.operationComplete(done);
-            }
-        });
-    }
-
-    private void writeEnd() {
-        backend.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(onWritten);
-    }
-
     private void releaseBuffered() {
         if (buffered != null) {
             buffered.release();
--- a/src/test/java/larkworks/proxy/BackendPoolTest.java
+++ b/src/test/java/larkworks/proxy/BackendPoolTest.java
@@ -57,7 +57,7 @@
                 answer -> outcomes.add(answer.outcome())));
     }
 
-    private static FullHttpRequest newRequest() {
+    static FullHttpRequest newRequest() {
         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
     }
 
--- /dev/null
+++ b/src/test/java/larkworks/proxy/UploadRetryTest.java
@@ -0,0 +1,170 @@
+package larkworks.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import larkworks.Balancer.Outcome;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Retries of a request whose body is an upload, where the connection of an earlier attempt fails. */
+@Timeout(120)
+class UploadRetryTest {
+
+    private static final int BODY_BYTES = 100_000;
+
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    /** Whether the next write to any backend fails as on a connection that its backend has reset. */
+    private final AtomicBoolean failNextWrite = new AtomicBoolean();
+    private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
+    private final byte[] body = new byte[BODY_BYTES];
+    private StubServer firstBackend;
+    private StubServer secondBackend;
+    private BackendPool pool;
+
+    /** A connection on which one write fails at once. */
+    private final class FailingChannel extends NioSocketChannel {
+        @Override
+        protected void doWrite(ChannelOutboundBuffer buffer) throws Exception {
+            if (failNextWrite.getAndSet(false)) {
+                throw new IOException("Connection reset by peer");
+            }
+            super.doWrite(buffer);
+        }
+    }
+
+    @BeforeEach
+    void open() throws Exception {
+        new Random(1).nextBytes(body);
+        firstBackend = new StubServer();
+        secondBackend = new StubServer();
+        Sockets sockets = new Sockets(16, 0);
+        pool = new BackendPool(loop, sockets, 5_000_000, 10_000_000, FailingChannel::new);
+        sockets.setEvictors(pool::evictLongestIdle);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        firstBackend.close();
+        secondBackend.close();
+    }
+
+    private Upload newUpload(Channel client) {
+        return new Upload(client, new WriteBufferShares(), BODY_BYTES, Unpooled.copiedBuffer(body),
+                () -> { });
+    }
+
+    private static HttpRequest head(Upload upload) {
+        HttpRequest head = new Upload.RequestHead(HttpVersion.HTTP_1_1, HttpMethod.POST, "/act", upload);
+        upload.setLengthHeader(head.headers());
+        return head;
+    }
+
+    private static void complete(Upload upload) {
+        upload.setLastPart(Unpooled.EMPTY_BUFFER);
+        upload.complete();
+    }
+
+    private Outcome nextOutcome() throws InterruptedException {
+        return outcomes.poll(StubServer.TIMEOUT_S, TimeUnit.SECONDS);
+    }
+
+    /** Serves one exchange, whose connection to the backend stays open and idle. */
+    private void poolConnection(StubServer backend) throws Exception {
+        InetSocketAddress address = Config.address(backend.address());
+        loop.execute(() -> pool.startExchange(address, BackendPoolTest::newRequest,
+                answer -> outcomes.add(answer.outcome())));
+        backend.next().reply(200, "");
+        assertEquals(Outcome.OK, nextOutcome());
+        BackendPoolTest.awaitReuseDelay();
+    }
+
+    /**
+     * Guards against an unsafe request that runs on two backends: the failed write of its first attempt
+     * counted as the failure of the second one, which then had a third after it.
+     */
+    @Test
+    void failedWriteOfOneAttemptDoesNotFailTheNextAttempt() throws Exception {
+        poolConnection(secondBackend);
+        loop.execute(() -> {
+            Upload upload = newUpload(new EmbeddedChannel());
+            pool.startExchange(Config.address(firstBackend.address()), () -> head(upload), first -> {
+                outcomes.add(first.outcome());
+                pool.startExchange(Config.address(secondBackend.address()), () -> head(upload),
+                        second -> outcomes.add(second.outcome()));
+            });
+            complete(upload);
+            failNextWrite.set(true);
+        });
+        assertEquals(Outcome.CONNECT_FAILED, nextOutcome());
+        StubServer.Message request = secondBackend.next();
+        assertArrayEquals(body, request.body());
+        request.reply(200, "");
+        assertEquals(Outcome.OK, nextOutcome(), "the attempt that the backend ran counts as failed");
+    }
+
+    /**
+     * Guards against a body that goes out with a second end, or without its beginning, as the next attempt
+     * begins while a write of the failed one is still being made.
+     */
+    @Test
+    void sendsBodyOnceToNextBackendIfTheFirstOnesConnectionIsClosed() {
+        EmbeddedChannel closed = new EmbeddedChannel();
+        closed.close();
+        EmbeddedChannel open = new EmbeddedChannel();
+        Upload upload = newUpload(new EmbeddedChannel());
+        complete(upload);
+        AtomicBoolean retried = new AtomicBoolean();
+        upload.attach(closed, failed -> {
+            if (retried.compareAndSet(false, true)) {
+                upload.detach(closed);
+                upload.attach(open, written -> { });
+            }
+        });
+        assertWhole(open);
+    }
+
+    /** Checks that the whole body and one end were written, and nothing after them. */
+    private void assertWhole(EmbeddedChannel channel) {
+        ByteArrayOutputStream written = new ByteArrayOutputStream();
+        int ends = 0;
+        for (HttpContent part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+            assertEquals(0, ends, "something was written after the end of the body");
+            ends += part instanceof LastHttpContent ? 1 : 0;
+            ByteBuf content = part.content();
+            byte[] bytes = new byte[content.readableBytes()];
+            content.readBytes(bytes);
+            written.writeBytes(bytes);
+            part.release();
+        }
+        assertEquals(1, ends, "ends of the body");
+        assertArrayEquals(body, written.toByteArray());
+    }
+}
