Pass events to the decision module in the order in which they occurred

Cause: Driver.runEvent put an event that occurred while another was handled at the end of the loop's tasks, but ran at once each one that occurred before that task. So "the body's beginning is released", which occurs within the request's own event, was overtaken by the end of the attempt, where its connection failed in the same turn of the loop. The module still took the body for whole and allowed a retry, and nothing looked again before the first byte.

Change: waiting events are run in their order, right after the current one. SendGuard, the one guard before an attempt's first byte, holds back an attempt whose body can't be sent from its beginning, whatever began it. Looked at for the same: all other tasks that are put off on the loop (Frontend, HealthProbes, Discovery, Main, the list service) have no way past their queue.

SendGuardTest holds the guard on its own.

--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -179,8 +180,10 @@
     private long deadlineLimitUs = Long.MAX_VALUE;
     /** The latest deadline of all requests received so far. */
     private long latestDeadlineUs;
-    /** Whether {@link #runEvent} is running an event; further events are queued meanwhile. */
+    /** Whether {@link #runEvent} is running an event. */
     private boolean handlingEvent;
+    /** Events that occurred while another was handled, in the order in which they occurred. */
+    private final ArrayDeque<Runnable> waitingEvents = new ArrayDeque<>();
     /** Action to run when the newest module asks discovery to report changes of the list. */
     private Runnable watchAction = () -> { };
     /** Null if metrics are disabled. */
@@ -830,21 +833,32 @@
         }
     }
 
-    /** Runs an event that calls a module: now, or once the current event has been handled. */
+    /**
+     * Runs an event that calls a module: now, or right after the current event and those that wait already.
+     * So the modules get all events in the order in which they occurred.
+     */
     private void runEvent(Runnable event) {
+        waitingEvents.add(event);
         if (handlingEvent) {
-            loop.execute(() -> runEvent(event));
             return;
         }
         handlingEvent = true;
+        try {
+            while (!waitingEvents.isEmpty()) {
+                handle(waitingEvents.remove());
+            }
+        } finally {
+            handlingEvent = false;
+        }
+    }
+
+    private static void handle(Runnable event) {
         try {
             event.run();
         } catch (RuntimeException e) {
             // The process must keep running for the other requests. Those affected by the exception are
             // answered as failed shortly before their deadlines.
             LOG.error("failed to handle an event for the decision module", e);
-        } finally {
-            handlingEvent = false;
         }
     }
 
--- a/src/main/java/larkworks/proxy/SendGuard.java
+++ b/src/main/java/larkworks/proxy/SendGuard.java
@@ -6,15 +6,19 @@
 /**
  * Decides whether an attempt may still be sent, just before its first byte is written. The decision module
  * chose it before the connection was established; in the meantime the request may have ended, its client may
- * have left, or the deduplication window of its idempotency key may have passed.
+ * have left, the beginning of its body may have been released, or the deduplication window of its idempotency
+ * key may have passed.
  */
 final class SendGuard {
 
     /**
      * Whether an attempt may be sent, or the reason why not, as written to the log. SERVER_BARRED: the server
-     * is in maintenance, or its drain's grace period is over or about to be.
+     * is in maintenance, or its drain's grace period is over or about to be. BODY_RELEASED: the body can't be
+     * sent from its beginning any more.
      */
-    enum Decision { SEND, ATTEMPT_ENDED, ANSWERED, SERVER_BARRED, NO_TIME_LEFT, CLIENT_LEFT, MAY_HAVE_RUN }
+    enum Decision {
+        SEND, ATTEMPT_ENDED, ANSWERED, BODY_RELEASED, SERVER_BARRED, NO_TIME_LEFT, CLIENT_LEFT, MAY_HAVE_RUN
+    }
 
     private SendGuard() { }
 
@@ -32,6 +36,10 @@
         if (attempt.request.isAnswered()) {
             return Decision.ANSWERED;
         }
+        Upload upload = attempt.request.inbound.upload();
+        if (upload != null && !upload.isRepeatable()) {
+            return Decision.BODY_RELEASED;
+        }
         if (excluded) {
             return Decision.SERVER_BARRED;
         }
--- a/src/main/java/larkworks/proxy/Upload.java
+++ b/src/main/java/larkworks/proxy/Upload.java
@@ -148,6 +148,11 @@
         }
     }
 
+    /** Returns whether the body can be sent to a backend from its beginning. */
+    boolean isRepeatable() {
+        return buffered != null;
+    }
+
     /** Returns whether no backend is attached, so that received bytes are buffered. */
     boolean isWaitingForBackend() {
         return transfer == null && buffered != null && !discarded;
--- a/src/test/java/larkworks/proxy/PendingRequestsTest.java
+++ b/src/test/java/larkworks/proxy/PendingRequestsTest.java
@@ -10,7 +10,6 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
@@ -28,43 +27,6 @@
 @Timeout(120)
 class PendingRequestsTest {
 
-    /** Records the driver's answers, and with each the delivery to notify once the answer is written. */
-    private static final class RecordingClient implements Driver.Client {
-        private final List<String> answers = new ArrayList<>();
-        private final List<Driver.Delivery> deliveries = new ArrayList<>();
-
-        private void record(String answer, Driver.Delivery delivery) {
-            answers.add(answer);
-            deliveries.add(delivery);
-        }
-
-        @Override
-        public boolean isConnected() {
-            return true;
-        }
-
-        @Override
-        public void sendAnswer(byte[] body, String type, Driver.Delivery delivery) {
-            record("served", delivery);
-        }
-
-        @Override
-        public BackendPool.AnswerSink startStream(BackendPool.Exchange from, String type, long length,
-                Driver.Delivery delivery) {
-            throw new AssertionError("an answer was streamed, but these tests send only small ones");
-        }
-
-        @Override
-        public void sendRefusal(long retryAfterUs, Driver.Delivery delivery) {
-            record("refused", delivery);
-        }
-
-        @Override
-        public void sendFailure(Driver.Delivery delivery) {
-            record("failed", delivery);
-        }
-    }
-
     @TempDir
     Path folder;
 
@@ -115,7 +77,7 @@
 
     private void awaitAnswer() throws Exception {
         long timeoutAtNs = System.nanoTime() + StubServer.TIMEOUT_S * 1_000_000_000L;
-        while (onLoop(client.answers::isEmpty)) {
+        while (onLoop(client.answers()::isEmpty)) {
             assertTrue(System.nanoTime() < timeoutAtNs, "the driver gave no answer");
             Thread.sleep(1);
         }
@@ -127,10 +89,10 @@
         accept(20_000_000);
         bench.backends.get(0).next().reply(200, "whole");
         awaitAnswer();
-        assertEquals(List.of("served"), onLoop(() -> List.copyOf(client.answers)));
+        assertEquals(List.of("served"), onLoop(() -> List.copyOf(client.answers())));
         assertEquals(false, onLoop(driver::isIdle), "the request completed before its answer was written");
         onLoop(() -> {
-            client.deliveries.get(0).ended(true);
+            client.deliveries().get(0).ended(true);
             return null;
         });
         assertTrue(onLoop(driver::isIdle));
@@ -142,10 +104,10 @@
         accept(300_000);
         awaitAnswer();
         onLoop(() -> {
-            client.deliveries.get(0).ended(true);
+            client.deliveries().get(0).ended(true);
             return null;
         });
-        assertEquals(1, onLoop(client.answers::size));
+        assertEquals(1, onLoop(client.answers()::size));
         assertTrue(onLoop(driver::isIdle), "the request is still pending for an attempt that never began");
         assertEquals(0, onLoop(sockets::openCount), "a socket that was never opened is counted");
     }
@@ -172,7 +134,7 @@
         bench.backends.get(0).next();
         awaitAnswer();
         assertTrue(onLoop(() -> driver.requestsPastDeadline().isEmpty()));
-        assertEquals(List.of("failed"), onLoop(() -> List.copyOf(client.answers)));
+        assertEquals(List.of("failed"), onLoop(() -> List.copyOf(client.answers())));
         assertTrue(onLoop(pending::isAnswered));
     }
 }
--- /dev/null
+++ b/src/test/java/larkworks/proxy/SendGuardTest.java
@@ -0,0 +1,46 @@
+package larkworks.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpMethod;
+import larkworks.Balancer.DedupGroup;
+import larkworks.Balancer.Effect;
+import larkworks.Balancer.RequestClass;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The last decision before an attempt's first byte, on its own. */
+@Timeout(60)
+class SendGuardTest {
+
+    private static final RequestClass SAFE_CLASS =
+            new RequestClass("look", 1_000_000, 2_000_000, 1, 0, Effect.SAFE, DedupGroup.ALL, 0);
+    private static final long LEFT_MS = 1_000;
+
+    private static SendGuard.Decision decide(Upload upload) {
+        Driver.Inbound inbound = new Driver.Inbound("r", HttpMethod.POST, "/look", null, null, upload, null,
+                0, 0, 2_000_000, 0, false, 0);
+        PendingRequest request = new PendingRequest("1", inbound, new RecordingClient(), 0, 2_000_000, null);
+        UpstreamAttempt attempt = new UpstreamAttempt(request, 0, "b0", 0, null);
+        request.attempts.add(attempt);
+        return SendGuard.decide(attempt, SAFE_CLASS, false, LEFT_MS, 0);
+    }
+
+    /**
+     * Guards against a request that reaches a backend without the beginning of its body, whatever began the
+     * attempt.
+     */
+    @Test
+    void holdsBackAttemptWhoseBodyCannotBeSentFromItsBeginning() {
+        Upload upload = new Upload(new EmbeddedChannel(), new WriteBufferShares(), -1,
+                Unpooled.buffer().writeZero(BackendPool.MAX_BUFFERED_BODY_BYTES + 1), () -> { });
+        assertEquals(SendGuard.Decision.SEND, decide(upload));
+        EmbeddedChannel backend = new EmbeddedChannel();
+        upload.attach(backend, written -> { });
+        upload.detach(backend);
+        assertEquals(SendGuard.Decision.BODY_RELEASED, decide(upload));
+        backend.releaseOutbound();
+    }
+}
--- a/src/test/java/larkworks/proxy/UploadRetryTest.java
+++ b/src/test/java/larkworks/proxy/UploadRetryTest.java
@@ -6,19 +6,16 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
@@ -40,32 +37,20 @@
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    /** Whether the next write to any backend fails as on a connection that its backend has reset. */
-    private final AtomicBoolean failNextWrite = new AtomicBoolean();
+    private final FailingChannels channels = new FailingChannels();
     private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
     private final byte[] body = new byte[BODY_BYTES];
     private StubServer firstBackend;
     private StubServer secondBackend;
     private BackendPool pool;
 
-    /** A connection on which one write fails at once. */
-    private final class FailingChannel extends NioSocketChannel {
-        @Override
-        protected void doWrite(ChannelOutboundBuffer buffer) throws Exception {
-            if (failNextWrite.getAndSet(false)) {
-                throw new IOException("Connection reset by peer");
-            }
-            super.doWrite(buffer);
-        }
-    }
-
     @BeforeEach
     void open() throws Exception {
         new Random(1).nextBytes(body);
         firstBackend = new StubServer();
         secondBackend = new StubServer();
         Sockets sockets = new Sockets(16, 0);
-        pool = new BackendPool(loop, sockets, 5_000_000, 10_000_000, FailingChannel::new);
+        pool = new BackendPool(loop, sockets, 5_000_000, 10_000_000, channels);
         sockets.setEvictors(pool::evictLongestIdle);
     }
 
@@ -121,7 +106,7 @@
                         second -> outcomes.add(second.outcome()));
             });
             complete(upload);
-            failNextWrite.set(true);
+            channels.failNextWrite();
         });
         assertEquals(Outcome.CONNECT_FAILED, nextOutcome());
         StubServer.Message request = secondBackend.next();
