Send each of two attempts at once the whole of a large body

Callers saw: a hedged attempt of a keyed request with a body over 64 KiB that had arrived whole before its first connection came up reached the second backend with an empty chunked body, a complete request that no client sent (or, with a declared length, a body that never came).

Upload held one position for all attempts, and only the end of an attempt set it back. A hedged attempt is attached while the first is still in flight, so that it was sent what the first had not been sent: nothing, and the end.

Change: each transfer has its own position, from the body's beginning, and parts that arrive later go to all of them. A body whose beginning is released fails its writes. What write buffers still hold is counted, over all attempts.

Evidence: UploadRetryTest.

--- a/src/main/java/larkworks/proxy/Upload.java
+++ b/src/main/java/larkworks/proxy/Upload.java
@@ -12,15 +12,19 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * A request body that is too large to be buffered whole, passed from a client to a backend as it arrives. The
  * bytes received before a backend is attached are buffered, and can be sent again to another backend until
- * more than {@link BackendPool#MAX_BUFFERED_BODY_BYTES} bytes were written to one; later bytes are written as
- * they arrive. While no backend is attached the client is still read, as only reading shows that it has gone;
- * the limit of buffered bytes that all connections share applies. Otherwise the client is read only while the
- * backend's channel is writable.
+ * more than {@link BackendPool#MAX_BUFFERED_BODY_BYTES} bytes of an incomplete body were written to one;
+ * later bytes are written as they arrive. Each attached backend is sent the body from its beginning. While
+ * none is attached the client is still read, as only reading shows that it has gone; the limit of buffered
+ * bytes that all connections share applies. Otherwise the client is read only while the backends' channels
+ * are writable.
  */
 final class Upload {
 
@@ -46,6 +50,8 @@
         private final Channel channel;
         /** Notified when the last byte was written to the channel or a write has failed. */
         private final ChannelFutureListener onWritten;
+        /** Number of buffered bytes that were written to the channel. */
+        private int sentBytes;
 
         Transfer(Channel channel, ChannelFutureListener onWritten) {
             this.channel = channel;
@@ -53,8 +59,24 @@
         }
 
         /** Returns whether the body is still to be sent on this channel. */
-        boolean isCurrent() {
-            return transfer == this;
+        boolean isAttached() {
+            return transfers.contains(this);
+        }
+
+        /** Writes the buffered bytes that were not written to this channel yet. */
+        void writeBuffered() {
+            if (buffered == null) {
+                return;
+            }
+            int from = sentBytes;
+            sentBytes = buffered.writerIndex();
+            if (from < sentBytes) {
+                unwrittenBuffers++;
+                write(buffered.retainedSlice(from, sentBytes - from)).addListener(done -> {
+                    unwrittenBuffers--;
+                    notifyIfReleased();
+                });
+            }
         }
 
         /** Writes a part. A failed write notifies {@link #onWritten}, before the channel's close is seen. */
@@ -78,12 +100,10 @@
     private final long length;
     /** All bytes received so far; null once too many were written for the body to be sent again. */
     private ByteBuf buffered;
-    /** Number of buffered bytes that were written to the current backend. */
-    private int sentBytes;
-    /** The latest write of buffered bytes, or null. */
-    private ChannelFuture lastBufferedWrite;
-    /** The transfer of the body to the current backend; null while no backend is attached. */
-    private Transfer transfer;
+    /** Number of writes of buffered bytes that the channels' write buffers still hold. */
+    private int unwrittenBuffers;
+    /** The transfers to the attached backends: one, or two while a hedged attempt is in flight. */
+    private final List<Transfer> transfers = new ArrayList<>(1);
     /** The last part, until it is known that the client didn't close its connection behind it; else null. */
     private ByteBuf lastPart;
     /** Whether the client has sent the whole body. */
@@ -132,18 +152,27 @@
      * @param writeListener notified when the last byte was written or a write has failed
      */
     void attach(Channel channel, ChannelFutureListener writeListener) {
-        transfer = new Transfer(channel, writeListener);
+        if (!isRepeatable()) {
+            channel.newFailedFuture(new IllegalStateException("the beginning of the body is released"))
+                    .addListener(writeListener);
+            return;
+        }
+        Transfer transfer = new Transfer(channel, writeListener);
+        transfers.add(transfer);
         writeBufferShares.add(channel);
-        writeBuffered();
+        transfer.writeBuffered();
+        if (complete && transfer.isAttached()) {
+            transfer.writeEnd();
+        }
+        releaseIfSent();
+        flush();
         updateReading();
     }
 
     /** Stops sending the body on this channel; has no effect if the body is not being sent on it. */
     void detach(Channel channel) {
-        if (transfer != null && transfer.channel == channel) {
+        if (transfers.removeIf(transfer -> transfer.channel == channel)) {
             writeBufferShares.remove(channel);
-            transfer = null;
-            sentBytes = 0;
             updateReading();
         }
     }
@@ -155,20 +184,24 @@
 
     /** Returns whether no backend is attached, so that received bytes are buffered. */
     boolean isWaitingForBackend() {
-        return transfer == null && buffered != null && !discarded;
+        return transfers.isEmpty() && buffered != null;
     }
 
     /** Takes ownership of the next part of the body. */
     void addPart(ByteBuf content) {
-        if (discarded || buffered == null && transfer == null) {
+        if (discarded) {
             content.release();
-        } else if (buffered != null) {
+            return;
+        }
+        if (buffered != null) {
             buffered.writeBytes(content);
-            content.release();
-            writeBuffered();
+            forEachTransfer(Transfer::writeBuffered);
+            releaseIfSent();
+            flush();
         } else {
-            transfer.write(content);
+            forEachTransfer(transfer -> transfer.write(content.retainedDuplicate()));
         }
+        content.release();
         updateReading();
     }
 
@@ -182,16 +215,12 @@
         addPart(lastPart);
         lastPart = null;
         complete = true;
-        if (transfer != null) {
-            transfer.writeEnd();
-        }
+        forEachTransfer(Transfer::writeEnd);
     }
 
     /** Flushes the writes to the backend; to be called after each batch of reads from the client. */
     void flush() {
-        if (transfer != null) {
-            transfer.channel.flush();
-        }
+        forEachTransfer(transfer -> transfer.channel.flush());
     }
 
     /**
@@ -213,7 +242,7 @@
         if (discarded) {
             return;
         }
-        boolean writable = transfer == null || transfer.channel.isWritable();
+        boolean writable = transfers.stream().allMatch(transfer -> transfer.channel.isWritable());
         if (writable && readingPaused) {
             earlierPausesNs += System.nanoTime() - pauseStartNs;
         } else if (!writable && !readingPaused) {
@@ -233,41 +262,36 @@
         return TimeUnit.NANOSECONDS.toMillis(earlierPausesNs) + currentPauseMs();
     }
 
-    /** Writes the buffered bytes that the current backend has not been sent yet. */
-    private void writeBuffered() {
-        if (transfer == null || buffered == null) {
-            return;
-        }
-        Transfer current = transfer;
-        int from = sentBytes;
-        sentBytes = buffered.writerIndex();
-        if (from < sentBytes) {
-            ChannelFuture write = current.write(buffered.retainedSlice(from, sentBytes - from));
-            if (!current.isCurrent()) {
-                // The write has failed, which ended the attempt.
-                return;
+    /** Runs an action for each attached backend. A write that fails at once may detach any of them. */
+    private void forEachTransfer(Consumer<Transfer> action) {
+        for (Transfer transfer : List.copyOf(transfers)) {
+            if (transfer.isAttached()) {
+                action.accept(transfer);
             }
-            lastBufferedWrite = write;
         }
-        if (complete) {
-            current.writeEnd();
-        } else if (sentBytes > BackendPool.MAX_BUFFERED_BODY_BYTES) {
+    }
+
+    /** Releases the buffered bytes of an incomplete body once too many of them were written to a backend. */
+    private void releaseIfSent() {
+        if (buffered != null && !complete && !transfers.isEmpty()
+                && buffered.writerIndex() > BackendPool.MAX_BUFFERED_BODY_BYTES) {
             releaseBuffered();
             onNotRepeatable.run();
         }
-        flush();
     }
 
     private void releaseBuffered() {
         if (buffered != null) {
             buffered.release();
             buffered = null;
-            if (lastBufferedWrite == null) {
-                onReleased.run();
-            } else {
-                // The backend channel's write buffer holds the bytes until they are written.
-                lastBufferedWrite.addListener(done -> onReleased.run());
-            }
+            notifyIfReleased();
+        }
+    }
+
+    /** Notifies the memory's owner once the buffered bytes are released and no write buffer holds any. */
+    private void notifyIfReleased() {
+        if (buffered == null && unwrittenBuffers == 0) {
+            onReleased.run();
         }
     }
 }
--- a/src/test/java/larkworks/proxy/EventOrderTest.java
+++ b/src/test/java/larkworks/proxy/EventOrderTest.java
@@ -113,8 +113,8 @@
     void failedAttemptIsNotRetriedOnceBeginningOfItsBodyIsReleased() throws Exception {
         poolConnections();
         PendingRequest request = onLoop(() -> {
-            Upload upload = new Upload(new EmbeddedChannel(), new WriteBufferShares(), -1,
-                    Unpooled.buffer().writeZero(LARGE_BODY_BYTES), () -> { });
+            Upload upload = new Upload(new EmbeddedChannel(), new WriteBufferShares(),
+                    2 * LARGE_BODY_BYTES, Unpooled.buffer().writeZero(LARGE_BODY_BYTES), () -> { });
             PendingRequest submitted = submit("post", ACT, upload, client);
             channels.failNextWrite();
             upload.addPart(Unpooled.buffer().writeZero(1));
--- a/src/test/java/larkworks/proxy/SendGuardTest.java
+++ b/src/test/java/larkworks/proxy/SendGuardTest.java
@@ -1,10 +1,14 @@
 package larkworks.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.concurrent.atomic.AtomicReference;
 import larkworks.Balancer.DedupGroup;
 import larkworks.Balancer.Effect;
 import larkworks.Balancer.RequestClass;
@@ -41,6 +45,12 @@
         upload.attach(backend, written -> { });
         upload.detach(backend);
         assertEquals(SendGuard.Decision.BODY_RELEASED, decide(upload));
+
+        AtomicReference<ChannelFuture> written = new AtomicReference<>();
+        EmbeddedChannel nextBackend = new EmbeddedChannel();
+        upload.attach(nextBackend, written::set);
+        assertFalse(written.get().isSuccess());
+        assertNull(nextBackend.readOutbound(), "a part of the body was sent without its beginning");
         backend.releaseOutbound();
     }
 }
--- a/src/test/java/larkworks/proxy/UploadRetryTest.java
+++ b/src/test/java/larkworks/proxy/UploadRetryTest.java
@@ -2,8 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
@@ -17,6 +18,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -33,6 +36,8 @@
 class UploadRetryTest {
 
     private static final int BODY_BYTES = 100_000;
+    /** Two parts of this size are more than the proxy keeps once a backend has been sent them. */
+    private static final int HELD_BYTES = 40_000;
 
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -136,20 +141,56 @@
         assertWhole(open);
     }
 
+    /**
+     * Guards against a hedged attempt whose body is empty: the second backend was sent only what the first
+     * one had not been sent yet.
+     */
+    @Test
+    void sendsWholeBodyToEachOfTwoBackendsAtOnce() {
+        EmbeddedChannel first = new EmbeddedChannel();
+        EmbeddedChannel second = new EmbeddedChannel();
+        Upload upload = newUpload(new EmbeddedChannel());
+        complete(upload);
+        upload.attach(first, written -> { });
+        upload.attach(second, written -> { });
+        assertWhole(first);
+        assertWhole(second);
+    }
+
+    /** Guards against a body that is cut off where the first of two attempts at once ends. */
+    @Test
+    void sendsLaterPartsToBothBackendsUntilOneAttemptEnds() {
+        EmbeddedChannel first = new EmbeddedChannel();
+        EmbeddedChannel second = new EmbeddedChannel();
+        Upload upload = new Upload(new EmbeddedChannel(), new WriteBufferShares(), BODY_BYTES,
+                Unpooled.buffer().writeBytes(body, 0, HELD_BYTES), () -> { });
+        upload.attach(first, written -> { });
+        upload.attach(second, written -> { });
+        upload.addPart(Unpooled.copiedBuffer(body, HELD_BYTES, HELD_BYTES));
+        upload.detach(first);
+        upload.setLastPart(Unpooled.copiedBuffer(body, 2 * HELD_BYTES, BODY_BYTES - 2 * HELD_BYTES));
+        upload.complete();
+        assertWhole(second);
+        assertArrayEquals(Arrays.copyOf(body, 2 * HELD_BYTES), content(first));
+    }
+
     /** Checks that the whole body and one end were written, and nothing after them. */
     private void assertWhole(EmbeddedChannel channel) {
+        List<Object> written = List.copyOf(channel.outboundMessages());
+        assertEquals(1, written.stream().filter(LastHttpContent.class::isInstance).count(),
+                "ends of the body");
+        assertTrue(written.get(written.size() - 1) instanceof LastHttpContent,
+                "something was written after the end of the body");
+        assertArrayEquals(body, content(channel));
+    }
+
+    /** Returns the bytes of the body that were written. */
+    private static byte[] content(EmbeddedChannel channel) {
         ByteArrayOutputStream written = new ByteArrayOutputStream();
-        int ends = 0;
         for (HttpContent part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
-            assertEquals(0, ends, "something was written after the end of the body");
-            ends += part instanceof LastHttpContent ? 1 : 0;
-            ByteBuf content = part.content();
-            byte[] bytes = new byte[content.readableBytes()];
-            content.readBytes(bytes);
-            written.writeBytes(bytes);
+            written.writeBytes(ByteBufUtil.getBytes(part.content()));
             part.release();
         }
-        assertEquals(1, ends, "ends of the body");
-        assertArrayEquals(body, written.toByteArray());
+        return written.toByteArray();
     }
 }
