Take the order of the driver's events into a class of its own

Cause: Driver holds much beside its job, and the order of events, which a fault hung on, could be tested only through sockets. Change: EventQueue runs events one at a time in the order in which they occurred; Driver.runEvent is gone. No change of behaviour.

--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -42,7 +41,7 @@
  * Connects the proxy's sockets to the decision module: passes network events to the module and carries out
  * the actions that the module calls. It takes no routing decision itself; it only applies limits that the
  * protocol dictates. The module must not be called from within its own actions, so events that occur during
- * such a call are queued and passed on afterwards.
+ * such a call wait in an {@link EventQueue} until it has ended.
  */
 final class Driver {
 
@@ -180,10 +179,8 @@
     private long deadlineLimitUs = Long.MAX_VALUE;
     /** The latest deadline of all requests received so far. */
     private long latestDeadlineUs;
-    /** Whether {@link #runEvent} is running an event. */
-    private boolean handlingEvent;
-    /** Events that occurred while another was handled, in the order in which they occurred. */
-    private final ArrayDeque<Runnable> waitingEvents = new ArrayDeque<>();
+    /** The events for the modules. */
+    private final EventQueue events = new EventQueue();
     /** Action to run when the newest module asks discovery to report changes of the list. */
     private Runnable watchAction = () -> { };
     /** Null if metrics are disabled. */
@@ -243,7 +240,7 @@
         public void wakeAt(long atUs) {
             // The timer runs at least one tick later, so that times in the past do not make the loop spin.
             long delayUs = Math.max(settings.tickUs(), atUs - clock.nowUs());
-            loop.schedule(() -> runEvent(() -> balancer.timer(Math.max(atUs, clock.nowUs()))), delayUs,
+            loop.schedule(() -> events.run(() -> balancer.timer(Math.max(atUs, clock.nowUs()))), delayUs,
                     TimeUnit.MICROSECONDS);
         }
 
@@ -303,7 +300,7 @@
      * The settings must have the same classes and tenants, in the same order, as the current ones.
      */
     void applySettings(Settings newSettings) {
-        runEvent(() -> {
+        events.run(() -> {
             settings = newSettings;
             requestsAnswered = 0;
             requestsFailed = 0;
@@ -362,26 +359,26 @@
         public void verdict(String server, Verdict verdict, long untilMs) {
             SHARED.atDebug().addKeyValue("server", server).addKeyValue("verdict", verdict)
                     .addKeyValue("until_ms", untilMs).log("a peer's verdict");
-            runEvent(() -> forEachModule(
+            events.run(() -> forEachModule(
                     balancer -> balancer.peerVerdict(clock.nowUs(), server, verdict, untilMs * 1000)));
         }
 
         @Override
         public void serverBudget(String server, long left, long untilMs) {
             // Only the newest module gets the tokens: two modules with the same ones would spend them twice.
-            runEvent(() -> newestModule.balancer.serverBudgetChanged(clock.nowUs(), server, left,
+            events.run(() -> newestModule.balancer.serverBudgetChanged(clock.nowUs(), server, left,
                     untilMs * 1000));
         }
 
         @Override
         public void classBudget(String name, long left, long untilMs) {
-            runEvent(() -> newestModule.balancer.classBudgetChanged(clock.nowUs(), classIndex(name), left,
+            events.run(() -> newestModule.balancer.classBudgetChanged(clock.nowUs(), classIndex(name), left,
                     untilMs * 1000));
         }
 
         @Override
         public void affinity(String name, Collection<String> servers) {
-            runEvent(() -> newestModule.balancer.affinityChanged(clock.nowUs(), classIndex(name), servers));
+            events.run(() -> newestModule.balancer.affinityChanged(clock.nowUs(), classIndex(name), servers));
         }
     }
 
@@ -466,7 +463,7 @@
             // First, because the module needs the budget of a cold server before it sees the server.
             shared.listed(kind == ListKind.CHANGES, entries.stream().map(Listing.Entry::server).toList());
         }
-        runEvent(() -> {
+        events.run(() -> {
             long nowUs = clock.nowUs();
             // A full list is reduced to its differences from the previous one, to save work in the modules.
             ListKind appliedKind = kind == ListKind.REMEMBERED ? kind : ListKind.CHANGES;
@@ -542,7 +539,7 @@
         if (enabled) {
             cancelUnsent(server);
         }
-        runEvent(() -> forEachModule(
+        events.run(() -> forEachModule(
                 balancer -> balancer.maintenanceChanged(clock.nowUs(), server, enabled)));
     }
 
@@ -580,7 +577,7 @@
         if (meters != null) {
             meters.discoveryFailed();
         }
-        runEvent(() -> newestModule.balancer.discoveryFailed(clock.nowUs()));
+        events.run(() -> newestModule.balancer.discoveryFailed(clock.nowUs()));
     }
 
     /** Accepts a request from a client and passes it to the newest module. */
@@ -599,10 +596,10 @@
         if (inbound.upload() == null) {
             startFailureTimer(pending, nowUs);
         } else {
-            inbound.upload().onNotRepeatable(() -> runEvent(
+            inbound.upload().onNotRepeatable(() -> events.run(
                     () -> pending.module.balancer.bodyDiscarded(clock.nowUs(), pending.id)));
         }
-        runEvent(() -> {
+        events.run(() -> {
             try {
                 pending.module.balancer.request(clock.nowUs(), new Request(pending.id, inbound.requestClass(),
                         inbound.tenant(), Math.max(0, deadlineUs - clock.nowUs()), inbound.workUs(),
@@ -660,7 +657,7 @@
         startFailureTimer(pending, nowUs);
         pending.attempts.stream().filter(attempt -> !attempt.ended)
                 .forEach(attempt -> scheduleTimeout(attempt, nowUs, pending.deadlineUs));
-        runEvent(() -> pending.module.balancer.uploadCompleted(clock.nowUs(), pending.id));
+        events.run(() -> pending.module.balancer.uploadCompleted(clock.nowUs(), pending.id));
     }
 
     /** Schedules the time-out of an attempt. */
@@ -676,7 +673,7 @@
             attemptEnded(pending.answeringAttempt, AttemptResult.of(Outcome.CANCELLED));
         } else if (!pending.isAnswered()) {
             recordResult(pending, Meters.Result.GONE);
-            runEvent(() -> pending.module.balancer.clientGone(clock.nowUs(), pending.id));
+            events.run(() -> pending.module.balancer.clientGone(clock.nowUs(), pending.id));
             removeIfEnded(pending);
         }
     }
@@ -692,7 +689,7 @@
             pending.client.sendFailure(delivery(pending));
             if (noAttemptPending) {
                 // Otherwise the module might still send it, and would wait forever for that attempt's end.
-                runEvent(() -> pending.module.balancer.clientGone(clock.nowUs(), pending.id));
+                events.run(() -> pending.module.balancer.clientGone(clock.nowUs(), pending.id));
             }
         }
     }
@@ -716,7 +713,7 @@
             attempt.timeout.cancel(false);
         }
         long nowUs = clock.nowUs();
-        runEvent(() -> pending.module.balancer.streamStarted(nowUs, pending.id, attempt.number,
+        events.run(() -> pending.module.balancer.streamStarted(nowUs, pending.id, attempt.number,
                 attempt.server, nowUs - fullySentAtUs(attempt)));
         return pending.client.startStream(exchange, contentType, length, delivery(pending));
     }
@@ -745,7 +742,7 @@
                     .addKeyValue("attempt", attempt.number).addKeyValue("backend", attempt.server)
                     .addKeyValue("outcome", result.outcome()).log("attempt ended");
         }
-        runEvent(() -> {
+        events.run(() -> {
             pending.openAttempts--;
             if (result.outcome() == Outcome.OK && !pending.isAnswered()) {
                 recordResult(pending, Meters.Result.SERVED);
@@ -833,35 +830,6 @@
         }
     }
 
-    /**
-     * Runs an event that calls a module: now, or right after the current event and those that wait already.
-     * So the modules get all events in the order in which they occurred.
-     */
-    private void runEvent(Runnable event) {
-        waitingEvents.add(event);
-        if (handlingEvent) {
-            return;
-        }
-        handlingEvent = true;
-        try {
-            while (!waitingEvents.isEmpty()) {
-                handle(waitingEvents.remove());
-            }
-        } finally {
-            handlingEvent = false;
-        }
-    }
-
-    private static void handle(Runnable event) {
-        try {
-            event.run();
-        } catch (RuntimeException e) {
-            // The process must keep running for the other requests. Those affected by the exception are
-            // answered as failed shortly before their deadlines.
-            LOG.error("failed to handle an event for the decision module", e);
-        }
-    }
-
     // ---- actions
 
     private void send(String request, String server, long timeoutUs) {
@@ -1014,7 +982,7 @@
     }
 
     private void probe(String server, DecisionModule module) {
-        HealthProbes.Listener listener = (probedServer, outcome, tookUs, report) -> runEvent(
+        HealthProbes.Listener listener = (probedServer, outcome, tookUs, report) -> events.run(
                 () -> module.balancer.probeResult(clock.nowUs(), probedServer, outcome, tookUs, report));
         Backend backend = backends.get(server);
         if (backend == null || inMaintenance.contains(server)) {
