--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -66,72 +66,6 @@
      */
     private static final int BUFFERING_AIM_DIVISOR = 10;
 
-    /**
-     * Notified exactly once for each answer: when its last byte has been written to the client's connection,
-     * or when it can no longer be written.
-     */
-    @FunctionalInterface
-    interface Delivery {
-        void ended(boolean written);
-    }
-
-    /**
-     * The client that waits for a request's final answer. Exactly one of the methods that take a
-     * {@link Delivery} is called, and only once.
-     */
-    interface Client {
-        /**
-         * Returns whether the client is still connected, after reading all bytes that the system has received
-         * from it by now.
-         */
-        boolean isConnected();
-
-        /** Returns whether the client's connection is open, judged by the bytes read so far. */
-        default boolean isOpen() {
-            return true;
-        }
-
-        void sendAnswer(byte[] body, String contentType, Delivery delivery);
-
-        /**
-         * Starts a large answer whose body follows in parts.
-         *
-         * @param length the length of the body in bytes; negative if the backend did not declare it
-         * @return the sink that takes the body
-         */
-        BackendPool.AnswerSink startStream(BackendPool.Exchange exchange, String contentType, long length,
-                Delivery delivery);
-
-        void sendRefusal(long retryAfterUs, Delivery delivery);
-
-        void sendFailure(Delivery delivery);
-    }
-
-    /**
-     * A request as received from a client.
-     *
-     * @param idempotencyKey null if the request carries none
-     * @param body the complete body; null if the body is an upload
-     * @param upload a body that is too large to be buffered; null if there is none
-     * @param contentType the content type, or null
-     * @param timeLeftUs how long the client waits for the answer, from the request's last byte
-     * @param workUs the expected work on a standard core; 0 if unknown
-     * @param clientRetry whether the client marked the request as a retry
-     * @param receivedAtUs when the request's last byte was received
-     */
-    record Inbound(String callId, HttpMethod method, String uri, String idempotencyKey, byte[] body,
-            Upload upload, String contentType, int requestClass, int tenant, long timeLeftUs, long workUs,
-            boolean clientRetry, long receivedAtUs) {
-
-        /**
-         * Returns the same request with its body: complete, or as an upload that is forwarded from now on.
-         */
-        Inbound withBody(byte[] completeBody, Upload forwardedUpload, long bodyReceivedAtUs) {
-            return new Inbound(callId, method, uri, idempotencyKey, completeBody, forwardedUpload,
-                    contentType, requestClass, tenant, timeLeftUs, workUs, clientRetry, bodyReceivedAtUs);
-        }
-    }
-
     /** A backend as listed most recently by discovery. */
     private static final class Backend {
         InetSocketAddress address;
@@ -581,7 +515,7 @@
     }
 
     /** Accepts a request from a client and passes it to the newest module. */
-    PendingRequest submit(Inbound inbound, Client client) {
+    PendingRequest submit(InboundRequest inbound, RequestClient client) {
         long nowUs = clock.nowUs();
         long deadlineUs = deadlineUs(inbound.receivedAtUs(), inbound);
         PendingRequest pending = new PendingRequest(Long.toString(++lastRequestId), inbound, client, nowUs,
@@ -631,7 +565,7 @@
     }
 
     /** Returns the deadline of a request whose last byte was received at {@code receivedAtUs}. */
-    private long deadlineUs(long receivedAtUs, Inbound inbound) {
+    private long deadlineUs(long receivedAtUs, InboundRequest inbound) {
         long deadlineUs = receivedAtUs + inbound.timeLeftUs();
         if (clock.nowUs() >= deadlineLimitFromUs) {
             deadlineUs = Math.min(deadlineUs, deadlineLimitUs);
@@ -812,7 +746,7 @@
     }
 
     /** Returns the listener that ends the request once its answer is written or can't be written any more. */
-    private Delivery delivery(PendingRequest pending) {
+    private DeliveryListener delivery(PendingRequest pending) {
         return written -> {
             if (!written && LOG.isDebugEnabled()) {
                 LOG.atDebug().addKeyValue("request", pending.inbound.callId()).log("answer not written");
@@ -884,7 +818,7 @@
      */
     private HttpRequest buildRequest(UpstreamAttempt attempt, Backend backend) {
         long nowUs = clock.nowUs();
-        Inbound inbound = attempt.request.inbound;
+        InboundRequest inbound = attempt.request.inbound;
         long leftMs = attempt.request.isUploading() ? inbound.timeLeftUs() / 1000
                 : (attempt.timeoutAtUs - nowUs) / 1000;
         RequestClass requestClass = settings.classes().get(inbound.requestClass());
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -301,7 +301,7 @@
     }
 
     /** Parses a request head. */
-    private Driver.Inbound parseHead(HttpRequest request) throws RejectedException {
+    private InboundRequest parseHead(HttpRequest request) throws RejectedException {
         HttpHeaders headers = request.headers();
         String id = headers.get("X-Call-Id");
         if (id == null || id.isBlank()) {
@@ -322,7 +322,7 @@
             throw new RejectedException(HttpResponseStatus.BAD_REQUEST, "no Idempotency-Key");
         }
         long budgetUs = numericHeader(headers, "X-Budget-Ms", requestClass.deadlineUs() / 1000) * 1000;
-        return new Driver.Inbound(id, request.method(), request.uri(), key, null, null,
+        return new InboundRequest(id, request.method(), request.uri(), key, null, null,
                 headers.get(HttpHeaderNames.CONTENT_TYPE), classNumber,
                 tenantNumbers.getOrDefault(headers.get("X-Caller"), 0), budgetUs,
                 numericHeader(headers, "X-Call-Cost", 0), "1".equals(headers.get("X-Again")), 0);
@@ -393,11 +393,11 @@
          */
         private long bodyRateStartMs;
         /** The current request as parsed from its head, without the body; null if it was rejected. */
-        private Driver.Inbound parsedRequest;
+        private InboundRequest parsedRequest;
         private RejectedException rejection;
         private boolean keepAlive;
         /** A complete request, until all bytes received in the same loop turn have been read; else null. */
-        private Driver.Inbound completeRequest;
+        private InboundRequest completeRequest;
         /** Whether the driver has the current request and hasn't answered it yet. */
         private boolean awaitingAnswer;
         /** The current request as the driver holds it, or null. */
@@ -744,14 +744,14 @@
 
         /** Dispatches the complete request, unless the client closed its connection right behind it. */
         private void dispatchCompleteRequest() {
-            Driver.Inbound inbound = completeRequest;
+            InboundRequest inbound = completeRequest;
             completeRequest = null;
             if (inbound != null && channel.isActive() && !closing) {
                 dispatch(inbound);
             }
         }
 
-        private void dispatch(Driver.Inbound inbound) {
+        private void dispatch(InboundRequest inbound) {
             driver.invariants().check(!closing && channel.isActive(), Rule.NO_REQUEST_AFTER_CLOSE,
                     inbound.callId(), () -> "closing=" + closing + " active=" + channel.isActive());
             idleOrUnprovenConnections().remove(this);
@@ -793,7 +793,7 @@
         }
 
         private void answer(HttpResponseStatus status, byte[] content, String contentType,
-                long retryAfterUs, Driver.Delivery delivery) {
+                long retryAfterUs, DeliveryListener delivery) {
             boolean bodiless = head.method().equals(HttpMethod.HEAD);
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                     content == null || bodiless ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(content));
@@ -814,7 +814,7 @@
             }
         }
 
-        private void notifyWritten(ChannelFuture writing, Driver.Delivery delivery) {
+        private void notifyWritten(ChannelFuture writing, DeliveryListener delivery) {
             writing.addListener(done -> delivery.ended(done.isSuccess()));
         }
 
@@ -948,7 +948,7 @@
         }
 
         private BackendPool.AnswerSink beginStreamedAnswer(BackendPool.Exchange exchange, String contentType,
-                long length, Driver.Delivery delivery) {
+                long length, DeliveryListener delivery) {
             streamedAnswer = new StreamedAnswer(this, exchange, contentType, length, delivery);
             return streamedAnswer;
         }
@@ -960,7 +960,7 @@
         private final Connection connection;
         private final Channel channel;
         private final BackendPool.Exchange exchange;
-        private final Driver.Delivery delivery;
+        private final DeliveryListener delivery;
         /** Whether closing the connection marks the answer's end, as it has neither a length nor chunks. */
         private final boolean endsWithConnection;
         /** Whether this is the connection's last answer. */
@@ -972,7 +972,7 @@
         private Future<?> stallCheck;
 
         private StreamedAnswer(Connection connection, BackendPool.Exchange exchange, String contentType,
-                long length, Driver.Delivery delivery) {
+                long length, DeliveryListener delivery) {
             this.delivery = delivery;
             this.connection = connection;
             this.channel = connection.channel;
@@ -1059,7 +1059,7 @@
     }
 
     /** Writes the driver's answer to the client's connection. */
-    private record Client(Connection connection) implements Driver.Client {
+    private record Client(Connection connection) implements RequestClient {
 
         @Override
         public boolean isConnected() {
@@ -1072,23 +1072,23 @@
         }
 
         @Override
-        public void sendAnswer(byte[] body, String contentType, Driver.Delivery delivery) {
+        public void sendAnswer(byte[] body, String contentType, DeliveryListener delivery) {
             connection.answer(HttpResponseStatus.OK, body, contentType, -1, delivery);
         }
 
         @Override
         public BackendPool.AnswerSink startStream(BackendPool.Exchange exchange, String contentType,
-                long length, Driver.Delivery delivery) {
+                long length, DeliveryListener delivery) {
             return connection.beginStreamedAnswer(exchange, contentType, length, delivery);
         }
 
         @Override
-        public void sendRefusal(long retryAfterUs, Driver.Delivery delivery) {
+        public void sendRefusal(long retryAfterUs, DeliveryListener delivery) {
             connection.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, null, null, retryAfterUs, delivery);
         }
 
         @Override
-        public void sendFailure(Driver.Delivery delivery) {
+        public void sendFailure(DeliveryListener delivery) {
             connection.answer(HttpResponseStatus.BAD_GATEWAY, null, null, -1, delivery);
         }
     }
--- a/src/main/java/larkworks/proxy/PendingRequest.java
+++ b/src/main/java/larkworks/proxy/PendingRequest.java
@@ -15,8 +15,8 @@
 
     /** The id under which the decision module knows the request, assigned by the driver. */
     final String id;
-    final Driver.Inbound inbound;
-    final Driver.Client client;
+    final InboundRequest inbound;
+    final RequestClient client;
     /** The decision module that handles this request until it ends. */
     final Driver.DecisionModule module;
     final List<UpstreamAttempt> attempts = new ArrayList<>(2);
@@ -38,7 +38,7 @@
     /** Whether the answer was written, can't be written, or is not needed as the client has gone. */
     private boolean delivered;
 
-    PendingRequest(String id, Driver.Inbound inbound, Driver.Client client, long dispatchedUs,
+    PendingRequest(String id, InboundRequest inbound, RequestClient client, long dispatchedUs,
             long deadlineUs, Driver.DecisionModule module) {
         this.dispatchedUs = dispatchedUs;
         this.id = id;
--- a/src/main/java/larkworks/proxy/Warmup.java
+++ b/src/main/java/larkworks/proxy/Warmup.java
@@ -14,7 +14,7 @@
  * requests of clients. It uses a driver and a decision module of its own, whose only backend is this proxy's
  * listener.
  */
-final class Warmup implements Driver.Client {
+final class Warmup implements RequestClient {
 
     private static final int REQUEST_COUNT = 20;
     /** Maximum duration of the warm-up; the start goes on after it in any case. */
@@ -49,7 +49,7 @@
         if (--remainingRequests == 0) {
             finish();
         } else if (remainingRequests > 0) {
-            driver.submit(new Driver.Inbound("warm-up", HttpMethod.GET, "/health/live", null, new byte[0],
+            driver.submit(new InboundRequest("warm-up", HttpMethod.GET, "/health/live", null, new byte[0],
                     null, null, 0, 0, MAX_DURATION_MS * 1000, 0, false, clock.nowUs()), this);
         }
     }
@@ -70,25 +70,25 @@
     }
 
     @Override
-    public void sendAnswer(byte[] body, String type, Driver.Delivery delivery) {
+    public void sendAnswer(byte[] body, String type, DeliveryListener delivery) {
         delivery.ended(true);
         loop.execute(this::sendNext);
     }
 
     @Override
     public BackendPool.AnswerSink startStream(BackendPool.Exchange from, String type, long length,
-            Driver.Delivery delivery) {
+            DeliveryListener delivery) {
         throw new IllegalStateException("warm-up answer of " + length + " bytes: a small one is expected");
     }
 
     @Override
-    public void sendRefusal(long retryAfterUs, Driver.Delivery delivery) {
+    public void sendRefusal(long retryAfterUs, DeliveryListener delivery) {
         delivery.ended(true);
         loop.execute(this::sendNext);
     }
 
     @Override
-    public void sendFailure(Driver.Delivery delivery) {
+    public void sendFailure(DeliveryListener delivery) {
         delivery.ended(true);
         loop.execute(this::sendNext);
     }
--- a/src/test/java/larkworks/proxy/EventOrderTest.java
+++ b/src/test/java/larkworks/proxy/EventOrderTest.java
@@ -49,7 +49,7 @@
     }
 
     private PendingRequest submit(String id, int requestClass, Upload upload, RecordingClient sender) {
-        return harness.driver.submit(new Driver.Inbound(id, upload == null ? HttpMethod.GET : HttpMethod.POST,
+        return harness.driver.submit(new InboundRequest(id, upload == null ? HttpMethod.GET : HttpMethod.POST,
                 "/" + id, null, upload == null ? new byte[0] : null, upload, null, requestClass, 0,
                 20_000_000, 0, false, harness.clock.nowUs()), sender);
     }
--- a/src/test/java/larkworks/proxy/PendingRequestsTest.java
+++ b/src/test/java/larkworks/proxy/PendingRequestsTest.java
@@ -44,7 +44,7 @@
     }
 
     private PendingRequest accept(long timeLeftUs) throws Exception {
-        return onLoop(() -> driver.submit(new Driver.Inbound("r1", HttpMethod.GET, "/look", null,
+        return onLoop(() -> driver.submit(new InboundRequest("r1", HttpMethod.GET, "/look", null,
                 new byte[0], null, null, 0, 0, timeLeftUs, 0, false, harness.clock.nowUs()), client));
     }
 
--- a/src/test/java/larkworks/proxy/RecordingClient.java
+++ b/src/test/java/larkworks/proxy/RecordingClient.java
@@ -4,10 +4,10 @@
 import java.util.List;
 
 /** A client that stays connected; records the driver's answers, and with each how to report its delivery. */
-final class RecordingClient implements Driver.Client {
+final class RecordingClient implements RequestClient {
 
     private final List<String> answers = new ArrayList<>();
-    private final List<Driver.Delivery> deliveries = new ArrayList<>();
+    private final List<DeliveryListener> deliveries = new ArrayList<>();
 
     /** Returns the answers so far: "served", "refused" or "failed". */
     List<String> answers() {
@@ -15,11 +15,11 @@
     }
 
     /** Returns for each answer the delivery to notify once that answer is written. */
-    List<Driver.Delivery> deliveries() {
+    List<DeliveryListener> deliveries() {
         return deliveries;
     }
 
-    private void record(String answer, Driver.Delivery delivery) {
+    private void record(String answer, DeliveryListener delivery) {
         answers.add(answer);
         deliveries.add(delivery);
     }
@@ -30,23 +30,23 @@
     }
 
     @Override
-    public void sendAnswer(byte[] body, String type, Driver.Delivery delivery) {
+    public void sendAnswer(byte[] body, String type, DeliveryListener delivery) {
         record("served", delivery);
     }
 
     @Override
     public BackendPool.AnswerSink startStream(BackendPool.Exchange from, String type, long length,
-            Driver.Delivery delivery) {
+            DeliveryListener delivery) {
         throw new AssertionError("an answer was streamed, but these tests send only small ones");
     }
 
     @Override
-    public void sendRefusal(long retryAfterUs, Driver.Delivery delivery) {
+    public void sendRefusal(long retryAfterUs, DeliveryListener delivery) {
         record("refused", delivery);
     }
 
     @Override
-    public void sendFailure(Driver.Delivery delivery) {
+    public void sendFailure(DeliveryListener delivery) {
         record("failed", delivery);
     }
 }
--- a/src/test/java/larkworks/proxy/SendGuardTest.java
+++ b/src/test/java/larkworks/proxy/SendGuardTest.java
@@ -24,7 +24,7 @@
     private static final long LEFT_MS = 1_000;
 
     private static SendGuard.Decision decide(Upload upload) {
-        Driver.Inbound inbound = new Driver.Inbound("r", HttpMethod.POST, "/look", null, null, upload, null,
+        InboundRequest inbound = new InboundRequest("r", HttpMethod.POST, "/look", null, null, upload, null,
                 0, 0, 2_000_000, 0, false, 0);
         PendingRequest request = new PendingRequest("1", inbound, new RecordingClient(), 0, 2_000_000, null);
         UpstreamAttempt attempt = new UpstreamAttempt(request, 0, "b0", 0, null);
