Release the last part of a large body once

Callers saw, by reading only: where the write of a large body's last part failed at once and the request was refused or failed, a further request on the same connection was not processed.

Upload.complete passed lastPart on while the field still named it; the failed write ended the request within that call, and discard released the part a second time, an exception in the midst of it.

Change: the part is taken out of the field first.

Evidence: UploadRetryTest.releasesLastPartOnceIfItsWriteEndsTheRequest, with the body's beginning held and released. After: both pass, and the other tests of UploadRetryTest, SendGuardTest and EventOrderTest.

--- a/src/main/java/larkworks/proxy/Upload.java
+++ b/src/main/java/larkworks/proxy/Upload.java
@@ -212,8 +212,10 @@
 
     /** Sends the last part: the client has sent the whole body and is still connected. */
     void complete() {
-        addPart(lastPart);
+        // Taken out first: a write that fails at once may end the request, which discards the body.
+        ByteBuf part = lastPart;
         lastPart = null;
+        addPart(part);
         complete = true;
         forEachTransfer(Transfer::writeEnd);
     }
--- a/src/test/java/larkworks/proxy/UploadRetryTest.java
+++ b/src/test/java/larkworks/proxy/UploadRetryTest.java
@@ -2,8 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -25,11 +27,14 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import larkworks.Balancer.Outcome;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Retries of a request whose body is an upload, where the connection of an earlier attempt fails. */
 @Timeout(120)
@@ -174,6 +179,36 @@
         assertArrayEquals(Arrays.copyOf(body, 2 * HELD_BYTES), content(first));
     }
 
+    /**
+     * Guards against a request whose end is cut short by an exception: where the write of the body's last
+     * part failed at once and so ended the request, that part was released twice.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void releasesLastPartOnceIfItsWriteEndsTheRequest(boolean beginningReleased) {
+        EmbeddedChannel backend = new EmbeddedChannel();
+        Upload upload = new Upload(new EmbeddedChannel(), new WriteBufferShares(), BODY_BYTES,
+                Unpooled.buffer().writeBytes(body, 0, HELD_BYTES), () -> { });
+        AtomicReference<Throwable> failure = new AtomicReference<>();
+        upload.attach(backend, written -> {
+            try {
+                upload.detach(backend);
+                upload.discard();
+            } catch (RuntimeException e) {
+                failure.set(e);
+            }
+        });
+        if (beginningReleased) {
+            upload.addPart(Unpooled.buffer().writeBytes(body, 0, HELD_BYTES));
+        }
+        backend.close();
+        ByteBuf lastPart = Unpooled.buffer().writeBytes(body, 0, 1);
+        upload.setLastPart(lastPart);
+        upload.complete();
+        assertNull(failure.get());
+        assertEquals(0, lastPart.refCnt());
+    }
+
     /** Checks that the whole body and one end were written, and nothing after them. */
     private void assertWhole(EmbeddedChannel channel) {
         List<Object> written = List.copyOf(channel.outboundMessages());
