--- a/src/test/java/larkworks/proxy/UploadRetryTest.java
+++ b/src/test/java/larkworks/proxy/UploadRetryTest.java
@@ -36,7 +36,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Retries of a request whose body is an upload, where the connection of an earlier attempt fails. */
+/** Further attempts of a request whose body is an upload: after a failed one, or beside one in flight. */
 @Timeout(120)
 class UploadRetryTest {
 
