--- a/src/test/java/larkworks/soak/SoakProxy.java
+++ b/src/test/java/larkworks/soak/SoakProxy.java
@@ -9,17 +9,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Scanner;
+import larkworks.DeployedJvm;
 import larkworks.SyscallFaults;
 
-/** A proxy of the soak, a real process with the flags of {@code run}, restarted at the same address. */
+/** A proxy of the soak, a real process with the options of {@code run}, restarted at the same address. */
 final class SoakProxy {
 
-    /** The flags of {@code run} that bear on memory and threads; classes come from the tests' class path. */
-    private static final List<String> FLAGS = List.of("-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC",
-            "-XX:-UsePerfData", "-Xms20m", "-Xmx40m", "-XX:MaxDirectMemorySize=16m", "-Xss256k",
-            "-Dio.netty.machineId=02:00:00:00:00:00:00:01", "-Dio.netty.eventLoopThreads=1",
-            "-Dio.netty.allocator.type=unpooled");
-
     final int number;
     final InetSocketAddress address;
     private final Path folder;
@@ -44,11 +39,8 @@
 
     /** Starts a process, whose system calls fail by these rules. */
     void start(String faults, long seed) throws IOException {
-        List<String> command = new ArrayList<>();
-        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(FLAGS);
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "larkworks.cli.Larkworks",
-                "proxy"));
+        List<String> command = new ArrayList<>(DeployedJvm.command());
+        command.add("proxy");
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
                 .redirectOutput(log(starts++).toFile());
         Map<String, String> environment = new HashMap<>(Map.of("GW_CONFIG",
