Tell in metrics and the log what clients make the process hold

Gauges for open client connections, bytes of buffered bodies and requests sent ahead, and the heap; a warning, at most once a second, where a body is refused for want of memory. The count of buffered bytes becomes a class (MemoryBudget), the parsing of heads moves out of Frontend (RequestHeadParser). No behaviour changes otherwise. Measured: MetricsTest, ResourceLimitTest, ProxyTest, AdminTest, LargeBodyTest, ConnectionClosingTest pass.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -20,7 +20,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
@@ -35,20 +34,15 @@
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
-import larkworks.Balancer.Effect;
-import larkworks.Balancer.RequestClass;
-import larkworks.Balancer.Settings;
 import larkworks.proxy.Invariants.Rule;
 import larkworks.transport.PollTimes;
 import larkworks.transport.SystemError;
@@ -98,15 +92,14 @@
     /** Maximum reads of one connection per loop turn: a usual request and the end of stream after it. */
     private static final int MAX_READS_PER_TURN = 16;
 
+    /** Minimum time between two warnings that memory is short. */
+    private static final long MEMORY_LOG_INTERVAL_MS = 1_000;
+
     private final EventLoop loop;
     private final Sockets sockets;
     private final Driver driver;
     private final PollTimes polls;
-    private final Settings settings;
-    /** Numbers of the request classes, by name. */
-    private final Map<String, Integer> requestClassNumbers = new HashMap<>();
-    /** Numbers of the tenants, by name. */
-    private final Map<String, Integer> tenantNumbers = new HashMap<>();
+    private final RequestHeadParser headParser;
     /** Connections that have carried a valid request and have none in progress, the longest silent first. */
     private final Set<Connection> idleConnections = new LinkedHashSet<>();
     /** Unproven connections: those without a valid request so far, the longest silent first. */
@@ -116,11 +109,13 @@
     private final LingeringClose lingering;
     private TcpListener listener;
     private Consumer<SystemError> onAcceptFailure = error -> { };
-    private int openConnections;
-    /** Size of the buffered bodies and pipelined messages of all connections. */
-    private int bufferedBytes;
+    /** Changed on the loop only; read by the metrics thread as well. */
+    private volatile int openConnections;
+    /** The buffered bodies and pipelined messages of all connections. */
+    private final MemoryBudget buffered = new MemoryBudget(MAX_BUFFERED_BYTES);
     /** Whether a call of {@link Connection#readNow} is running, on any connection; such calls don't nest. */
     private boolean readNowRunning;
+    private long memoryShortLoggedMs = nowMs() - MEMORY_LOG_INTERVAL_MS;
     private boolean warmedUp;
     private boolean draining;
 
@@ -130,13 +125,7 @@
         this.sockets = sockets;
         this.driver = driver;
         this.lingering = new LingeringClose(loop, REQUEST_TIMEOUT_MS);
-        this.settings = config.settings();
-        for (int i = 0; i < settings.classes().size(); i++) {
-            requestClassNumbers.put(settings.classes().get(i).name(), i);
-        }
-        for (int i = 0; i < settings.tenants().size(); i++) {
-            tenantNumbers.put(settings.tenants().get(i).name(), i);
-        }
+        this.headParser = new RequestHeadParser(config.settings());
         sockets.onRelease(() -> setAccepting(true));
     }
 
@@ -233,7 +222,7 @@
 
     /** Returns the size of the buffered bodies and pipelined messages of all connections. */
     int bufferedBytes() {
-        return bufferedBytes;
+        return buffered.usedBytes();
     }
 
     /** Returns the number of open client connections. */
@@ -279,6 +268,14 @@
         return false;
     }
 
+    private void logMemoryShort() {
+        if (nowMs() - memoryShortLoggedMs > MEMORY_LOG_INTERVAL_MS) {
+            memoryShortLoggedMs = nowMs();
+            LOG.atWarn().addKeyValue("buffered_bytes", buffered.usedBytes())
+                    .addKeyValue("connections", openConnections).log("no memory for more request bodies");
+        }
+    }
+
     private static long nowMs() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
@@ -289,81 +286,6 @@
         }
     }
 
-    /** Thrown for a request that is invalid or exceeds a limit; holds the status to answer it with. */
-    private static final class RejectedException extends Exception {
-        private static final long serialVersionUID = 1L;
-        private final transient HttpResponseStatus status;
-
-        RejectedException(HttpResponseStatus status, String reason) {
-            super(reason, null, false, false);
-            this.status = status;
-        }
-    }
-
-    /** Parses a request head. */
-    private InboundRequest parseHead(HttpRequest request) throws RejectedException {
-        HttpHeaders headers = request.headers();
-        String id = headers.get("X-Call-Id");
-        if (id == null || id.isBlank()) {
-            throw new RejectedException(HttpResponseStatus.BAD_REQUEST, "no X-Call-Id");
-        }
-        String name = firstPathSegment(request.uri());
-        Integer classNumber = requestClassNumbers.get(name);
-        if (classNumber == null || !name.equals(headers.get("X-Call-Class", name))) {
-            throw new RejectedException(HttpResponseStatus.BAD_REQUEST, "unknown class");
-        }
-        RequestClass requestClass = settings.classes().get(classNumber);
-        HttpMethod expectedMethod = requestClass.effect() == Effect.SAFE ? HttpMethod.GET : HttpMethod.POST;
-        if (!request.method().equals(expectedMethod)) {
-            throw new RejectedException(HttpResponseStatus.METHOD_NOT_ALLOWED, "wrong method");
-        }
-        String key = headers.get("Idempotency-Key");
-        if (requestClass.effect() == Effect.KEYED && key == null) {
-            throw new RejectedException(HttpResponseStatus.BAD_REQUEST, "no Idempotency-Key");
-        }
-        long budgetUs = numericHeader(headers, "X-Budget-Ms", requestClass.deadlineUs() / 1000) * 1000;
-        return new InboundRequest(id, request.method(), request.uri(), key, null, null,
-                headers.get(HttpHeaderNames.CONTENT_TYPE), classNumber,
-                tenantNumbers.getOrDefault(headers.get("X-Caller"), 0), budgetUs,
-                numericHeader(headers, "X-Call-Cost", 0), "1".equals(headers.get("X-Again")), 0);
-    }
-
-    /** Checks that the head is valid and its transfer coding, length and Expect header are supported. */
-    private static void checkHead(HttpRequest request) throws RejectedException {
-        if (request.decoderResult().isFailure() || RequestDecoder.hasUnsupportedTransferCoding(request)) {
-            throw new RejectedException(HttpResponseStatus.BAD_REQUEST, "broken request");
-        }
-        if (HttpUtil.getContentLength(request, 0L) > BackendPool.MAX_BODY_BYTES) {
-            throw new RejectedException(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
-        }
-        String expected = request.headers().get(HttpHeaderNames.EXPECT);
-        if (expected != null && !HttpUtil.is100ContinueExpected(request)) {
-            throw new RejectedException(HttpResponseStatus.EXPECTATION_FAILED, "unknown expectation");
-        }
-    }
-
-    private static long numericHeader(HttpHeaders headers, String name, long defaultValue)
-            throws RejectedException {
-        String text = headers.get(name);
-        if (text == null) {
-            return defaultValue;
-        }
-        try {
-            // Limits times to one day, which avoids overflows.
-            return Math.min(86_400_000, Math.max(0, Long.parseLong(text.strip())));
-        } catch (NumberFormatException e) {
-            throw new RejectedException(HttpResponseStatus.BAD_REQUEST, name + " is no whole number");
-        }
-    }
-
-    private static String firstPathSegment(String uri) {
-        int end = 1;
-        while (end < uri.length() && "/?".indexOf(uri.charAt(end)) < 0) {
-            end++;
-        }
-        return uri.isEmpty() ? "" : uri.substring(1, end);
-    }
-
     /** A client's connection. Its requests are answered in the order in which they arrived. */
     private final class Connection extends ChannelInboundHandlerAdapter {
 
@@ -375,7 +297,7 @@
         private final long queuedSinceNs = listener.queuedSinceNs();
         /** Messages that arrived behind the current request (HTTP pipelining). */
         private final PipelinedMessages pipelined =
-                new PipelinedMessages(change -> MAX_BUFFERED_BYTES - (bufferedBytes += change));
+                new PipelinedMessages(buffered);
         /** The head of the current request, until its answer has been written; null between requests. */
         private HttpRequest head;
         /** Whether the current request's body is still being received. */
@@ -426,9 +348,9 @@
                 setRequestTimeout(null);
                 sockets.release();
                 driver.invariants().check(
-                        openConnections >= 0 && bufferedBytes >= 0 && sockets.isConsistent(),
+                        openConnections >= 0 && buffered.usedBytes() >= 0 && sockets.isConsistent(),
                         Rule.COUNTS_NOT_NEGATIVE, "", () -> "connections=" + openConnections + " held_bytes="
-                                + bufferedBytes + " sockets=" + sockets.openCount());
+                                + buffered.usedBytes() + " sockets=" + sockets.openCount());
             });
             if (!sockets.addAccepted()) {
                 // Further connections wait in the listener's queue until one closes.
@@ -605,10 +527,10 @@
             bodyRateStartMs = Math.max(nowMs() + BODY_GRACE_MS,
                     (proven ? nowMs() : openedMs) + REQUEST_TIMEOUT_MS);
             scheduleBodyCheck();
-            checkHead(request);
+            RequestHeadParser.check(request);
             if (!isHealthCheck()) {
                 try {
-                    parsedRequest = parseHead(request);
+                    parsedRequest = headParser.parse(request);
                 } catch (RejectedException e) {
                     // Rejected once the body has been read, if that is small, so the connection can be kept.
                     rejection = e;
@@ -682,19 +604,20 @@
 
         /** Reserves memory for more of a body, evicting silent unproven connections where it runs short. */
         private void reserve(int bytes) throws RejectedException {
-            while (bufferedBytes + bytes > MAX_BUFFERED_BYTES && evictUnproven()) {
+            while (!buffered.fits(bytes) && evictUnproven()) {
                 // Each iteration closes one connection, which frees the memory of its body.
             }
-            if (bufferedBytes + bytes > MAX_BUFFERED_BYTES) {
+            if (!buffered.fits(bytes)) {
+                logMemoryShort();
                 throw new RejectedException(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for the body");
             }
-            bufferedBytes += bytes;
+            buffered.add(bytes);
             reservedBytes += bytes;
         }
 
         /** Gives back the memory that was reserved for this connection's body. */
         private void releaseReserved() {
-            bufferedBytes -= reservedBytes;
+            buffered.remove(reservedBytes);
             reservedBytes = 0;
         }
 
@@ -762,7 +685,7 @@
         }
 
         private void reject(RejectedException reason) {
-            if (reason.status.equals(HttpResponseStatus.BAD_REQUEST) && reason != rejection) {
+            if (reason.status().equals(HttpResponseStatus.BAD_REQUEST) && reason != rejection) {
                 // After a malformed message the beginning of the next request is unknown.
                 keepAlive = false;
             }
@@ -772,7 +695,7 @@
                 driver.clientGone(abandoned);
             }
             if (streamedAnswer == null) {
-                answer(reason.status, reason.getMessage().getBytes(StandardCharsets.US_ASCII), "text/plain");
+                answer(reason.status(), reason.getMessage().getBytes(StandardCharsets.US_ASCII), "text/plain");
             } else {
                 closeNow(CloseReason.REQUEST_BROKEN);
             }
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -166,6 +166,10 @@
                     state.name().toLowerCase(Locale.ROOT));
         }
         meters.registerGauge("larkworks.sockets.open", sockets, s -> s.openCount());
+        meters.registerGauge("larkworks.clients.connections", frontend, f -> f.openConnections());
+        meters.registerGauge("larkworks.clients.buffered.bytes", frontend, f -> f.bufferedBytes());
+        meters.registerGauge("larkworks.heap.used.bytes", Runtime.getRuntime(),
+                heap -> heap.totalMemory() - heap.freeMemory());
         meters.registerGauge("larkworks.loop.longest.gap.ms", pollTimes, PollTimes::longestGapMs);
         if (fleetMember != null) {
             meters.registerGauge("larkworks.minority", fleetMember, m -> m.minority() ? 1 : 0);
--- a/src/main/java/larkworks/proxy/PipelinedMessages.java
+++ b/src/main/java/larkworks/proxy/PipelinedMessages.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
-import java.util.function.IntUnaryOperator;
 
 /**
  * The queue of messages that a client sent ahead, behind its current request (HTTP pipelining). It owns the
@@ -30,25 +29,24 @@
     }
 
     private final ArrayDeque<Entry> entries = new ArrayDeque<>(2);
-    private final IntUnaryOperator changeTotal;
+    private final MemoryBudget total;
     private int sizeBytes;
     private boolean dropped;
 
     /**
      * Creates an empty queue.
      *
-     * @param changeTotal adds its argument, a change of this queue's size, to the total size that all
-     *     connections buffer, and returns how many bytes are left of the total's limit
+     * @param total what all connections buffer together
      */
-    PipelinedMessages(IntUnaryOperator changeTotal) {
-        this.changeTotal = changeTotal;
+    PipelinedMessages(MemoryBudget total) {
+        this.total = total;
     }
 
     /** Adds a message. Returns false if it is dropped, as are all messages once one has exceeded a limit. */
     boolean add(HttpObject message, long arrivalUs) {
         Entry entry = new Entry(message, arrivalUs);
         if (dropped || sizeBytes + entry.sizeBytes() > MAX_BYTES
-                || changeTotal.applyAsInt(0) < entry.sizeBytes()) {
+                || !total.fits(entry.sizeBytes())) {
             dropped = true;
             ReferenceCountUtil.release(message);
             while (!entries.isEmpty() && !(entries.peekLast().message() instanceof LastHttpContent)) {
@@ -59,7 +57,7 @@
         }
         entries.add(entry);
         sizeBytes += entry.sizeBytes();
-        changeTotal.applyAsInt(entry.sizeBytes());
+        total.add(entry.sizeBytes());
         return true;
     }
 
@@ -70,7 +68,7 @@
 
     private Entry subtractSize(Entry entry) {
         sizeBytes -= entry.sizeBytes();
-        changeTotal.applyAsInt(-entry.sizeBytes());
+        total.remove(entry.sizeBytes());
         return entry;
     }
 
