Keep only the header fields that the proxy reads

Change: requests and answers are decoded into headers that validate every field and keep the dozen that are read, at most 64 of them. Class of bug: memory that follows the number of parts and is counted by their bytes.

--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -70,6 +71,9 @@
     /** The delay before the first retry of a connection attempt; doubled before each further retry. */
     private static final long FIRST_LOCAL_RETRY_DELAY_MS = 1;
 
+    private static final HttpHeadersFactory HEADERS =
+            ResponseDecoder.keeping(HttpHeaderNames.CONTENT_TYPE, "X-Rejected", "X-Load-Report");
+
     private final Bootstrap bootstrap;
     private final EventLoop loop;
     private final Sockets sockets;
@@ -127,7 +131,7 @@
         Bootstrap connectionBootstrap = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(), connection);
+                channel.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(HEADERS), connection);
             }
         });
         connection.channel = sockets.connect(connectionBootstrap, loop, address, connectFuture -> {
--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -48,6 +49,7 @@
     private static final String EPOCH_HEADER = "X-Registry-Epoch";
     /** Header of a registry replica that has had no contact with a leader for too long. */
     private static final String STALE_HEADER = "X-Registry-Stale";
+    private static final HttpHeadersFactory HEADERS = ResponseDecoder.keeping(EPOCH_HEADER, STALE_HEADER);
     /**
      * Pause after an empty answer that arrived at once, so that proxy and discovery don't poll in a busy
      * loop. Far below 200 ms: if the next call started later than that, the watch would be regarded as
@@ -278,7 +280,7 @@
                         protected void initChannel(SocketChannel newChannel) {
                             newChannel.pipeline().addLast(
                                     new ReadNotifier(() -> answerBytesReceived(newChannel)),
-                                    new HttpRequestEncoder(), new ResponseDecoder(), new AnswerReader());
+                                    new HttpRequestEncoder(), new ResponseDecoder(HEADERS), new AnswerReader());
                         }
                     });
             channel = sockets.connectReserved(bootstrap, loop, addresses.get(addressIndex), connectFuture -> {
--- a/src/main/java/larkworks/proxy/RequestDecoder.java
+++ b/src/main/java/larkworks/proxy/RequestDecoder.java
@@ -2,10 +2,12 @@
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.AsciiString;
+import java.util.List;
 
 /**
  * Decodes requests strictly. Decoding fails for messages that two implementations could read as different
@@ -18,8 +20,15 @@
     /** Maximum size of a body part that is passed on as one message. */
     private static final int MAX_PART_BYTES = 32 << 10;
 
+    private static final HttpHeadersFactory HEADERS = RelevantHeaders.keeping(List.of(
+            HttpHeaderNames.CONTENT_LENGTH, HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.CONNECTION,
+            HttpHeaderNames.EXPECT, HttpHeaderNames.CONTENT_TYPE, "Idempotency-Key", "X-Call-Id",
+            "X-Call-Class", "X-Caller", "X-Budget-Ms", "X-Call-Cost", "X-Again"));
+    private static final HttpHeadersFactory TRAILERS = RelevantHeaders.keeping(List.of());
+
     RequestDecoder() {
-        super(new HttpDecoderConfig().setMaxChunkSize(MAX_PART_BYTES));
+        super(new HttpDecoderConfig().setMaxChunkSize(MAX_PART_BYTES).setHeadersFactory(HEADERS)
+                .setTrailersFactory(TRAILERS));
     }
 
     @Override
--- a/src/main/java/larkworks/proxy/ResponseDecoder.java
+++ b/src/main/java/larkworks/proxy/ResponseDecoder.java
@@ -1,8 +1,13 @@
 package larkworks.proxy;
 
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.regex.Pattern;
 
 /**
@@ -12,9 +17,27 @@
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
+    private static final HttpHeadersFactory TRAILERS = RelevantHeaders.keeping(List.of());
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
     private static final Pattern STATUS = Pattern.compile("[1-9][0-9]{2}");
 
+    /**
+     * Creates a decoder.
+     *
+     * @param headers makes the headers of responses, see {@link #keeping}
+     */
+    ResponseDecoder(HttpHeadersFactory headers) {
+        super(new HttpDecoderConfig().setHeadersFactory(headers).setTrailersFactory(TRAILERS));
+    }
+
+    /** Returns a factory of headers that keep the fields of HTTP's framing and these ones. */
+    static HttpHeadersFactory keeping(CharSequence... names) {
+        List<CharSequence> kept = new ArrayList<>(List.of(HttpHeaderNames.CONTENT_LENGTH,
+                HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.CONNECTION, HttpHeaderNames.UPGRADE));
+        kept.addAll(List.of(names));
+        return RelevantHeaders.keeping(kept);
+    }
+
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
         if (!VERSION.matcher(statusLine[0]).matches() || !STATUS.matcher(statusLine[1]).matches()) {
