Read into buffers on the heap, smaller where many connections share them

What callers saw: with hundreds of slow transfers answers came seconds late, and connections failed with 'Cannot reserve 512 bytes of direct buffer memory' (16 MB by the deploy file). Once that memory is used up each allocation waits up to half a second for a collection, on the event loop. Change: read buffers and encoders' buffers are on the heap, and a read buffer is at most 4 MB divided by the open sockets (2 to 32 kB). LargeBodyTest.limitsMemoryOfManyLargeAnswers measured memory outside the heap only and would see nothing now: it measures both, by the same bound.

--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -97,7 +97,8 @@
         this.idleTimeoutUs = Math.max(keepAliveUs / 2, keepAliveUs - IDLE_TIMEOUT_MARGIN_US);
         this.bootstrap = new Bootstrap().group(loop).channelFactory(channels)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, Sockets.readBufferAllocator())
+                .option(ChannelOption.ALLOCATOR, Sockets.HEAP_BUFFERS)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, sockets.readBufferAllocator())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutUs / 1000));
     }
 
--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -272,8 +272,9 @@
         } else {
             Bootstrap bootstrap = new Bootstrap().group(loop).channel(TcpChannel.class)
                     .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.ALLOCATOR, Sockets.HEAP_BUFFERS)
                     .option(ChannelOption.RECVBUF_ALLOCATOR,
-                            Sockets.readBufferAllocator().maxMessagesPerRead(READS_PER_LOOP_ITERATION))
+                            sockets.readBufferAllocator().maxMessagesPerRead(READS_PER_LOOP_ITERATION))
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) DiscoveryWaits.FIRST_CALL_TIMEOUT_MS)
                     .handler(new ChannelInitializer<SocketChannel>() {
                         @Override
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -140,8 +140,9 @@
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.ALLOCATOR, Sockets.HEAP_BUFFERS)
                 // Reads on after a short read, as the end of stream may follow: the client may have closed.
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, Sockets.readBufferAllocator()
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, sockets.readBufferAllocator()
                         .respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_TURN))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
--- a/src/main/java/larkworks/proxy/Sockets.java
+++ b/src/main/java/larkworks/proxy/Sockets.java
@@ -1,7 +1,8 @@
 package larkworks.proxy;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -21,6 +22,9 @@
     /** Descriptors reserved for the jar, the selector, the standard streams, the listener and discovery. */
     private static final int RESERVED_DESCRIPTORS = 48;
 
+    /** Allocates the buffers of connections on the heap, see {@link ReadBufferAllocator}. */
+    static final ByteBufAllocator HEAP_BUFFERS = new UnpooledByteBufAllocator(false);
+
     private final int limit;
     /** The number of descriptors left to connections that this class does not count. */
     private final int uncounted;
@@ -62,12 +66,9 @@
         evictUntilBelow(maxOpen + 1);
     }
 
-    /**
-     * Returns an allocator for read buffers that grow with the size of recent reads: large enough for large
-     * bodies, yet small when many connections are read at once.
-     */
-    static AdaptiveRecvByteBufAllocator readBufferAllocator() {
-        return new AdaptiveRecvByteBufAllocator(512, 2048, 32 << 10);
+    /** Returns an allocator for the read buffers of the counted connections. */
+    ReadBufferAllocator readBufferAllocator() {
+        return new ReadBufferAllocator(this::openCount);
     }
 
     /**
--- a/src/test/java/larkworks/proxy/LargeBodyTest.java
+++ b/src/test/java/larkworks/proxy/LargeBodyTest.java
@@ -235,6 +235,14 @@
         assertEquals("ok", new String(client.readBytes(2)));
     }
 
+    /** Returns the memory used by live objects and by buffers outside the heap. */
+    private static long usedMemoryBytes() {
+        System.gc();
+        Runtime heap = Runtime.getRuntime();
+        return heap.totalMemory() - heap.freeMemory()
+                + io.netty.util.internal.PlatformDependent.usedDirectMemory();
+    }
+
     @Test
     void limitsMemoryOfManyLargeAnswers() throws Exception {
         List<RawConnection> clients = new ArrayList<>();
@@ -245,8 +253,7 @@
             server.readHead();
             servers.add(server.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
         }
-        System.gc();
-        long usedBeforeBytes = io.netty.util.internal.PlatformDependent.usedDirectMemory();
+        long usedBeforeBytes = usedMemoryBytes();
         AtomicLong writtenBytes = new AtomicLong();
         for (RawConnection server : servers) {
             CompletableFuture.runAsync(() -> {
@@ -262,8 +269,8 @@
             });
         }
         awaitStall(writtenBytes);
-        long bufferedBytes = io.netty.util.internal.PlatformDependent.usedDirectMemory() - usedBeforeBytes;
-        assertTrue(bufferedBytes < 12 << 20, "bytes buffered outside the heap: " + bufferedBytes);
+        long bufferedBytes = usedMemoryBytes() - usedBeforeBytes;
+        assertTrue(bufferedBytes < 12 << 20, "bytes buffered on the heap and outside it: " + bufferedBytes);
         for (RawConnection client : clients) {
             client.readHead();
             assertArrayEquals(Arrays.copyOf(body, LARGE_BODY_BYTES / 4), client.readChunks());
