Keep what a client sends ahead as bytes, and take its requests in turns

Requests sent ahead share 2 ms a turn. Class of bug: memory counted by a guess; a queue behind a client with no limit. ConnectionClosingTest.finishesWritingAnswersBeforeClosingIdleConnection wanted 8 MB of unread answers kept for one client, which is the fault: it now sends until the proxy takes no more (under 200 answers, as before) and wants each answer and the one request behind them; a second test has one unread answer.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -34,9 +34,11 @@
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -63,7 +65,7 @@
     private static final long BODY_GRACE_MS = 500;
     /**
      * Memory limit for all connections together: buffered small bodies, beginnings of bodies that may still
-     * turn out to be large, and pipelined messages.
+     * turn out to be large, and bytes sent ahead.
      */
     private static final int MAX_BUFFERED_BYTES = 8 << 20;
     /** A transfer without progress for this long is cut off. */
@@ -92,6 +94,10 @@
     /** Maximum reads of one connection per loop turn: a usual request and the end of stream after it. */
     private static final int MAX_READS_PER_TURN = 16;
 
+    /** Maximum number of requests of one connection that begin in a turn of the loop. */
+    private static final int MAX_REQUESTS_PER_TURN = 4;
+    /** Maximum time in a turn of the loop for requests that were sent ahead. */
+    private static final long RESUME_TURN_NS = 2_000_000;
     /** Minimum time between two warnings that memory is short. */
     private static final long MEMORY_LOG_INTERVAL_MS = 1_000;
 
@@ -104,6 +110,9 @@
     private final Set<Connection> idleConnections = new LinkedHashSet<>();
     /** Unproven connections: those without a valid request so far, the longest silent first. */
     private final Set<Connection> unprovenConnections = new LinkedHashSet<>();
+    /** Connections that have undecoded bytes and take a request, the one that waits longest first. */
+    private final Queue<Connection> resuming = new ArrayDeque<>();
+    private boolean resumesScheduled;
     private final WriteBufferShares writeBufferShares = new WriteBufferShares();
     /** Closes connections once their last answers have been written. */
     private final LingeringClose lingering;
@@ -111,7 +120,7 @@
     private Consumer<SystemError> onAcceptFailure = error -> { };
     /** Changed on the loop only; read by the metrics thread as well. */
     private volatile int openConnections;
-    /** The buffered bodies and pipelined messages of all connections. */
+    /** The buffered bodies and the bytes sent ahead of all connections. */
     private final MemoryBudget buffered = new MemoryBudget(MAX_BUFFERED_BYTES);
     /** Whether a call of {@link Connection#readNow} is running, on any connection; such calls don't nest. */
     private boolean readNowRunning;
@@ -149,7 +158,7 @@
                     protected void initChannel(Channel channel) {
                         Connection connection = new Connection(channel);
                         channel.pipeline().addLast(new ReadNotifier(connection::onBytesReceived),
-                                new RequestDecoder(), new HttpResponseEncoder(), connection);
+                                connection.decoder, new HttpResponseEncoder(), connection);
                     }
                 });
         if (shared) {
@@ -221,7 +230,7 @@
         });
     }
 
-    /** Returns the size of the buffered bodies and pipelined messages of all connections. */
+    /** Returns the size of the buffered bodies and the bytes sent ahead of all connections. */
     int bufferedBytes() {
         return buffered.usedBytes();
     }
@@ -269,6 +278,26 @@
         return false;
     }
 
+    /** Has {@link #resumeConnections} run after the loop has polled all connections. */
+    private void scheduleResumes() {
+        if (!resumesScheduled) {
+            resumesScheduled = true;
+            loop.schedule(this::resumeConnections, 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Decodes what clients sent ahead, for a short time: clients that wait for their answers go first. */
+    private void resumeConnections() {
+        resumesScheduled = false;
+        long startNs = System.nanoTime();
+        while (!resuming.isEmpty() && System.nanoTime() - startNs < RESUME_TURN_NS) {
+            resuming.remove().resume();
+        }
+        if (!resuming.isEmpty()) {
+            scheduleResumes();
+        }
+    }
+
     private void logMemoryShort() {
         if (nowMs() - memoryShortLoggedMs > MEMORY_LOG_INTERVAL_MS) {
             memoryShortLoggedMs = nowMs();
@@ -296,9 +325,13 @@
         private final long openedPoll = polls.polls();
         /** The earliest time at which the connection can have entered the listener's queue. */
         private final long queuedSinceNs = listener.queuedSinceNs();
-        /** Messages that arrived behind the current request (HTTP pipelining). */
-        private final PipelinedMessages pipelined =
-                new PipelinedMessages(buffered);
+        /** Keeps what arrives behind the current request (HTTP pipelining). */
+        private final RequestDecoder decoder =
+                new RequestDecoder(this::takesMessages, this::earliestArrivalUs, buffered);
+        /** Number of requests that began after the poll with the number {@link #turnPoll}. */
+        private int requestsInTurn;
+        private long turnPoll;
+        private boolean resumeScheduled;
         /** The head of the current request, until its answer has been written; null between requests. */
         private HttpRequest head;
         /** Whether the current request's body is still being received. */
@@ -357,8 +390,7 @@
                 // Further connections wait in the listener's queue until one closes.
                 setAccepting(false);
             }
-            setRequestTimeout(
-                    loop.schedule(this::onRequestTimeout, REQUEST_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+            startRequestTimeout();
             idleOrUnprovenConnections().add(this);
         }
 
@@ -445,27 +477,39 @@
                 idleOrUnprovenConnections().add(this);
             }
             if (!bytesArrivedSinceRequest && head == null && proven) {
-                setRequestTimeout(
-                        loop.schedule(this::onRequestTimeout, REQUEST_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+                startRequestTimeout();
             }
             bytesArrivedSinceRequest = true;
             lastReceivedMs = nowMs();
         }
 
+        /**
+         * Returns whether the next message is to be decoded: not while a request is in progress or the client
+         * doesn't read its answers, and only some requests in a turn of the loop, which others share.
+         */
+        private boolean takesMessages() {
+            return !closing && channel.isActive()
+                    && (receivingBody || head == null && channel.isWritable() && !hasUsedItsTurn());
+        }
+
+        private boolean hasUsedItsTurn() {
+            return turnPoll == polls.polls() && requestsInTurn >= MAX_REQUESTS_PER_TURN;
+        }
+
+        private void countRequestInTurn() {
+            if (turnPoll != polls.polls()) {
+                turnPoll = polls.polls();
+                requestsInTurn = 0;
+            }
+            requestsInTurn++;
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            HttpObject object = (HttpObject) message;
-            long arrivalUs = earliestArrivalUs();
             if (closing) {
-                ReferenceCountUtil.release(object);
-            } else if (!pipelined.isEmpty() || head != null && !receivingBody) {
-                boolean noneDropped = !pipelined.hasDropped();
-                if (!pipelined.add(object, arrivalUs) && noneDropped) {
-                    // Drops further bytes undecoded; they are read, as only reading shows the client's close.
-                    context.pipeline().addFirst(new LingeringClose.DiscardHandler());
-                }
+                ReferenceCountUtil.release(message);
             } else {
-                process(object, arrivalUs);
+                process((HttpObject) message, decoder.decodedArrivalUs());
             }
         }
 
@@ -485,6 +529,9 @@
             if (upload != null) {
                 upload.flush();
             }
+            if (!closing && head == null && decoder.undecodedBytes() > 0 && hasUsedItsTurn()) {
+                scheduleResume();
+            }
         }
 
         @Override
@@ -492,6 +539,9 @@
             if (streamedAnswer != null && channel.isWritable()) {
                 streamedAnswer.exchange.resumeReading();
             }
+            if (head == null && channel.isWritable()) {
+                scheduleResume();
+            }
         }
 
         private void process(HttpObject object, long arrivalUs) {
@@ -516,6 +566,7 @@
         }
 
         private void beginRequest(HttpRequest request) throws RejectedException {
+            countRequestInTurn();
             head = request;
             receivingBody = true;
             parsedRequest = null;
@@ -745,7 +796,7 @@
         /** Sets the answer's Connection header; returns whether the connection closes after this answer. */
         private boolean setConnectionHeader(HttpResponse response) {
             boolean last = !keepAlive || receivingBody
-                    || (draining || pipelined.hasDropped()) && pipelined.isEmpty();
+                    || (draining || decoder.hasDropped()) && !decoder.hasWholeHead();
             if (last) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
@@ -792,7 +843,7 @@
             idleOrUnprovenConnections().remove(this);
             setRequestTimeout(null);
             releaseBody();
-            pipelined.clear();
+            decoder.discard();
             pending = null;
             awaitingAnswer = false;
         }
@@ -815,32 +866,56 @@
             head = null;
             pending = null;
             awaitingAnswer = false;
-            bytesArrivedSinceRequest = !pipelined.isEmpty();
+            bytesArrivedSinceRequest = decoder.undecodedBytes() > 0;
             if (!channel.isActive()) {
                 return;
             }
-            if (pipelined.hasDropped() && !bytesArrivedSinceRequest) {
+            if (decoder.hasDropped() && !bytesArrivedSinceRequest) {
                 writeLastAndClose(Unpooled.EMPTY_BUFFER, CloseReason.TOO_MUCH_AHEAD);
                 return;
             }
             idleOrUnprovenConnections().add(this);
-            setRequestTimeout(proven && !bytesArrivedSinceRequest ? null
-                    : loop.schedule(this::onRequestTimeout, REQUEST_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+            setRequestTimeout(null);
+            channel.config().setAutoRead(true);
             if (bytesArrivedSinceRequest) {
-                loop.execute(this::processPipelined);
-            } else {
-                channel.config().setAutoRead(true);
+                scheduleResume();
+            } else if (!proven) {
+                startRequestTimeout();
+            }
+        }
+
+        private void startRequestTimeout() {
+            setRequestTimeout(
+                    loop.schedule(this::onRequestTimeout, REQUEST_TIMEOUT_MS, TimeUnit.MILLISECONDS));
+        }
+
+        /** Decodes what was sent ahead in a later turn of the loop. */
+        private void scheduleResume() {
+            if (!resumeScheduled) {
+                resumeScheduled = true;
+                resuming.add(this);
+                scheduleResumes();
             }
         }
 
-        /** Processes pipelined messages until one completes a request. */
-        private void processPipelined() {
-            while (!pipelined.isEmpty() && !closing && (head == null || receivingBody)) {
-                PipelinedMessages.Entry first = pipelined.poll();
-                process(first.message(), first.arrivalUs());
+        private void resume() {
+            resumeScheduled = false;
+            if (closing || !channel.isActive()) {
+                return;
             }
-            if (pipelined.isEmpty() && upload == null) {
-                channel.config().setAutoRead(true);
+            try {
+                decoder.resume();
+            } catch (Exception e) {
+                LOG.atError().setCause(e).log("failed to decode what was sent ahead");
+                closeNow(CloseReason.FAILED);
+                return;
+            }
+            if (head == null && requestTimeout == null && takesMessages()) {
+                startRequestTimeout();
+            }
+            if (decoder.hasDropped() && takesMessages()) {
+                // All bytes that are left are a part of a request, whose rest was dropped.
+                writeLastAndClose(Unpooled.EMPTY_BUFFER, CloseReason.TOO_MUCH_AHEAD);
             }
         }
 
@@ -859,7 +934,6 @@
                 driver.clientGone(abandoned);
             }
             releaseBody();
-            pipelined.clear();
         }
 
         @Override
--- a/src/test/java/larkworks/proxy/ConnectionClosingTest.java
+++ b/src/test/java/larkworks/proxy/ConnectionClosingTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -25,6 +26,10 @@
     private static final int BUFFERED_ANSWER_BYTES = 40_000;
     /** Size of an answer that the proxy streams instead of buffering it. */
     private static final int STREAMED_ANSWER_BYTES = 66_000;
+    /** With so many answers unread, the kernel's send buffer and the proxy's own limit are exceeded. */
+    private static final int MAX_UNREAD_ANSWERS = 200;
+    /** A request that no backend has got after this time was not taken by the proxy. */
+    private static final long NOT_TAKEN_MS = 300;
     /** How long the event loop is blocked: past the request timeout and the last request's deadline. */
     private static final int LOOP_BLOCKED_MS = 2_600;
 
@@ -123,15 +128,21 @@
 
     // ---- connections without a request in flight, and unproven ones
 
-    /** The answers exceed the kernel's send buffer; the proxy keeps the rest while no request follows. */
+    /**
+     * The answers exceed the kernel's send buffer; the proxy keeps the rest while no request follows. It takes
+     * no further request while it keeps more than its limit of one client, and then takes that one too.
+     */
     @Test
     void finishesWritingAnswersBeforeClosingIdleConnection() throws Exception {
-        int answerCount = 200;
         try (TestBench bench = new TestBench(1).start(folder)) {
             TestBench.Client client = bench.clientWithSmallBuffer();
-            for (int i = 0; i < answerCount; i++) {
-                client.sendLook(Integer.toString(i));
+            int answerCount = 0;
+            client.sendLook("0");
+            while (bench.backends.get(0).awaitMessage(NOT_TAKEN_MS)) {
                 bench.backends.get(0).next().reply(200, "x".repeat(BUFFERED_ANSWER_BYTES));
+                answerCount++;
+                assertTrue(answerCount < MAX_UNREAD_ANSWERS, "answers that nobody reads have no limit");
+                client.sendLook(Integer.toString(answerCount));
             }
             bench.awaitInputProcessed();
             CompletableFuture<Void> shutdown = bench.beginShutdown();
@@ -139,6 +150,22 @@
             for (int i = 0; i < answerCount; i++) {
                 assertEquals("x".repeat(BUFFERED_ANSWER_BYTES), client.answer().text());
             }
+            bench.backends.get(0).next().reply(200, "last");
+            assertEquals("last", client.answer().text());
+            assertClosedWithoutFurtherRequest(bench, client);
+            shutdown.get(StubServer.TIMEOUT_S, TimeUnit.SECONDS);
+        }
+    }
+
+    @Test
+    void finishesWritingAnAnswerThatIsNotReadBeforeClosingIdleConnection() throws Exception {
+        try (TestBench bench = new TestBench(1).start(folder)) {
+            TestBench.Client client = bench.clientWithSmallBuffer().sendLook("0");
+            bench.backends.get(0).next().reply(200, "x".repeat(BUFFERED_ANSWER_BYTES));
+            bench.awaitInputProcessed();
+            CompletableFuture<Void> shutdown = bench.beginShutdown();
+            bench.awaitListenerClosed();
+            assertEquals("x".repeat(BUFFERED_ANSWER_BYTES), client.answer().text());
             assertClosedWithoutFurtherRequest(bench, client);
             shutdown.get(StubServer.TIMEOUT_S, TimeUnit.SECONDS);
         }
--- a/src/test/java/larkworks/proxy/StubServer.java
+++ b/src/test/java/larkworks/proxy/StubServer.java
@@ -55,6 +55,15 @@
         return message;
     }
 
+    /** Returns whether a message that the test has not taken yet is received within this time. */
+    boolean awaitMessage(long ms) throws InterruptedException {
+        long timeoutAtNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+        while (received.isEmpty() && System.nanoTime() < timeoutAtNs) {
+            Thread.sleep(1);
+        }
+        return !received.isEmpty();
+    }
+
     /** Returns how many messages were received that the test has not taken yet. */
     int pendingMessages() {
         return received.size();
