Answer a large request in its time though its server reads it slowly

While the server is slow the proxy does not read, and the last byte lies in the systems' buffers. Until then nothing but the stall limit ended the request. Change: EarliestWriteTime bounds from below when the client can have written its last byte: when reading fell behind, or when less than 5 MB of what came then was read (more than the buffers hold). The request is failed when its time from there is over, and its last part is not sent on then. The close of a client is read once more before the last part is sent, also while reading is paused. Class of bug: a span measured by the loop's own progress. Related: small bodies count from their arrival already; answers have no deadline once begun.

--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -580,20 +580,42 @@
                 Math.max(0, pending.deadlineUs - DEADLINE_MARGIN_US - nowUs), TimeUnit.MICROSECONDS);
     }
 
-    /** Handles the last byte of an upload: the request's deadline and time-outs count from now on. */
-    void uploadCompleted(PendingRequest pending) {
+    /**
+     * Handles the last byte of an upload: the request's deadline and time-outs are known from now on.
+     *
+     * @param writtenUs the earliest time at which the client can have written it
+     */
+    void uploadCompleted(PendingRequest pending, long writtenUs) {
         if (pending.isAnswered() || !pending.isUploading()) {
             return;
         }
         long nowUs = clock.nowUs();
         pending.uploadCompletedUs = nowUs;
-        pending.deadlineUs = deadlineUs(nowUs, pending.inbound);
+        pending.deadlineUs = deadlineUs(writtenUs, pending.inbound);
         startFailureTimer(pending, nowUs);
         pending.attempts.stream().filter(attempt -> !attempt.ended)
                 .forEach(attempt -> scheduleTimeout(attempt, nowUs, pending.deadlineUs));
         events.run(() -> pending.module.balancer.uploadCompleted(clock.nowUs(), pending.id));
     }
 
+    /**
+     * Returns how much time is left until the request of an upload must be answered.
+     *
+     * @param writtenUs the earliest time at which the client can have written the upload's last byte
+     */
+    long uploadTimeLeftUs(PendingRequest pending, long writtenUs) {
+        return deadlineUs(writtenUs, pending.inbound) - DEADLINE_MARGIN_US - clock.nowUs();
+    }
+
+    /** Answers the request of an upload as failed, as no backend took the body in time. */
+    void failUpload(PendingRequest pending) {
+        if (LOG.isDebugEnabled()) {
+            LOG.atDebug().addKeyValue("request", pending.inbound.callId())
+                    .addKeyValue("state", pending.describe(clock.nowUs())).log("upload not taken in time");
+        }
+        failBeforeDeadline(pending);
+    }
+
     /** Schedules the time-out of an attempt. */
     private void scheduleTimeout(UpstreamAttempt attempt, long nowUs, long timeoutAtUs) {
         attempt.timeoutAtUs = timeoutAtUs;
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -341,6 +341,12 @@
         /** The current body once it has proved too large to be buffered; else null. */
         private Upload upload;
         private long receivedBodyBytes;
+        /** When the client can have written all of the current upload; null without an upload. */
+        private EarliestWriteTime writeTime;
+        /** The number of the poll after which reading of the current upload last went on. */
+        private long uploadResumedPoll;
+        /** Timer that checks whether the time of the current upload's request is over, or null. */
+        private Future<?> uploadCheck;
         /** The number of bytes of {@link #bufferedBytes} that are reserved for the current request's body. */
         private int reservedBytes;
         /**
@@ -479,6 +485,7 @@
             if (!bytesArrivedSinceRequest && head == null && proven) {
                 startRequestTimeout();
             }
+            noteUploadCaughtUp();
             bytesArrivedSinceRequest = true;
             lastReceivedMs = nowMs();
         }
@@ -528,6 +535,9 @@
         public void channelReadComplete(ChannelHandlerContext context) {
             if (upload != null) {
                 upload.flush();
+                if (channel.config().isAutoRead()) {
+                    writeTime.caughtUp();
+                }
             }
             if (!closing && head == null && decoder.undecodedBytes() > 0 && hasUsedItsTurn()) {
                 scheduleResume();
@@ -601,15 +611,16 @@
             return head.method().equals(HttpMethod.GET) && head.uri().startsWith("/health/");
         }
 
-        /** Cuts the connection off if the body arrives below the minimum rate or no backend takes it. */
+        /** Ends the request if its body arrives below the minimum rate or no backend takes it. */
         private void scheduleBodyCheck() {
             setRequestTimeout(loop.schedule(() -> {
                 readNow();
                 if (!receivingBody || closing || !channel.isActive()) {
                     return;
                 }
-                if (bodyDeadlineMs() <= nowMs()
-                        || upload != null && upload.currentPauseMs() > STALL_TIMEOUT_MS) {
+                if (upload != null && upload.currentPauseMs() > STALL_TIMEOUT_MS && pending != null) {
+                    driver.failUpload(pending);
+                } else if (bodyDeadlineMs() <= nowMs()) {
                     closeNow(CloseReason.BODY_LATE);
                 } else {
                     scheduleBodyCheck();
@@ -617,9 +628,13 @@
             }, Math.min(STALL_TIMEOUT_MS, Math.max(1, bodyDeadlineMs() - nowMs())), TimeUnit.MILLISECONDS));
         }
 
+        /** Returns when the client must have sent more of the body. */
         private long bodyDeadlineMs() {
-            return bodyRateStartMs + receivedBodyBytes * 1000 / MIN_BODY_BYTES_PER_S
+            long rateDeadlineMs = bodyRateStartMs + receivedBodyBytes * 1000 / MIN_BODY_BYTES_PER_S
                     + (upload == null ? 0 : upload.totalPauseMs());
+            long silentSinceMs = upload == null ? lastReceivedMs
+                    : Math.max(lastReceivedMs, nowMs() - upload.readingForMs());
+            return Math.min(rateDeadlineMs, silentSinceMs + REQUEST_TIMEOUT_MS);
         }
 
         private void receiveBody(HttpContent content, long arrivalUs) throws RejectedException {
@@ -675,8 +690,10 @@
 
         /** Starts to pass the body on as it arrives, as it is too large to be buffered. */
         private void startUpload(long arrivalUs) {
-            upload = new Upload(channel, writeBufferShares, HttpFraming.bodyLength(head), body,
-                    this::releaseReserved);
+            long length = HttpFraming.bodyLength(head);
+            upload = new Upload(channel, writeBufferShares, length, body, this::releaseReserved);
+            writeTime = new EarliestWriteTime(length);
+            upload.onReadingPaused(this::uploadPaused);
             body = null;
             dispatch(parsedRequest.withBody(null, upload, arrivalUs));
             if (upload != null) {
@@ -684,12 +701,58 @@
             }
         }
 
+        /** During a pause the client may write all of the body though not all of it is read. */
+        private void uploadPaused(boolean paused) {
+            if (!paused) {
+                uploadResumedPoll = polls.polls();
+                return;
+            }
+            writeTime.fellBehind(driver.clock().nowUs(), receivedBodyBytes);
+            if (uploadCheck == null) {
+                checkUploadTime();
+            }
+        }
+
+        /** Notes if the loop has polled the connection after a pause and found no bytes. */
+        private void noteUploadCaughtUp() {
+            if (upload != null && !upload.isReadingPaused()
+                    && polls.polls() > uploadResumedPoll + FIRST_READ_POLLS) {
+                writeTime.caughtUp();
+            }
+        }
+
+        /** Fails the request of the current upload if its time may be over, else checks again then. */
+        private void checkUploadTime() {
+            uploadCheck = null;
+            noteUploadCaughtUp();
+            if (pending == null || upload == null || !writeTime.isBehind()) {
+                return;
+            }
+            long nowUs = driver.clock().nowUs();
+            long writtenUs = writeTime.lastByteUs(nowUs, receivedBodyBytes, nowUs);
+            long leftUs = driver.uploadTimeLeftUs(pending,
+                    writtenUs == EarliestWriteTime.NOT_YET ? nowUs : writtenUs);
+            if (leftUs <= 0) {
+                driver.failUpload(pending);
+            } else {
+                uploadCheck = loop.schedule(this::checkUploadTime, leftUs, TimeUnit.MICROSECONDS);
+            }
+        }
+
+        private void cancelUploadCheck() {
+            if (uploadCheck != null) {
+                uploadCheck.cancel(false);
+                uploadCheck = null;
+            }
+        }
+
         private void onRequestComplete(long arrivalUs) {
             receivingBody = false;
             setRequestTimeout(null);
             if (upload != null) {
                 Upload uploaded = upload;
-                loop.execute(() -> completeUpload(uploaded));
+                long writtenUs = writeTime.lastByteUs(driver.clock().nowUs(), receivedBodyBytes, arrivalUs);
+                loop.execute(() -> completeUpload(uploaded, writtenUs));
                 return;
             }
             byte[] bytes = ByteBufUtil.getBytes(body);
@@ -707,13 +770,24 @@
             }
         }
 
-        /** Completes the upload, unless the client closed its connection right behind the last part. */
-        private void completeUpload(Upload uploaded) {
+        /**
+         * Completes the upload, unless the client closed its connection right behind the last part or the
+         * request's time is over. Reads first, also during a pause, as the close may be unread.
+         */
+        private void completeUpload(Upload uploaded, long writtenUs) {
             if (upload == uploaded && channel.isActive()) {
-                upload.complete();
-                if (pending != null) {
-                    driver.uploadCompleted(pending);
-                }
+                ((NioUnsafe) channel.unsafe()).read();
+            }
+            if (upload != uploaded || !channel.isActive()) {
+                return;
+            }
+            if (pending != null && driver.uploadTimeLeftUs(pending, writtenUs) <= 0) {
+                driver.failUpload(pending);
+                return;
+            }
+            upload.complete();
+            if (pending != null) {
+                driver.uploadCompleted(pending, writtenUs);
             }
         }
 
@@ -858,6 +932,7 @@
                 upload.discard();
                 upload = null;
             }
+            cancelUploadCheck();
         }
 
         /** Ends the current request and starts the next one, if it has arrived. */
--- a/src/main/java/larkworks/proxy/Upload.java
+++ b/src/main/java/larkworks/proxy/Upload.java
@@ -117,6 +117,9 @@
     private long earlierPausesNs;
     private final Runnable onReleased;
     private Runnable onNotRepeatable = () -> { };
+    private Consumer<Boolean> onReadingPaused = paused -> { };
+    /** When reading from the client last went on after a pause. */
+    private long resumedNs = System.nanoTime();
 
     /**
      * Takes ownership of the bytes received so far.
@@ -137,6 +140,11 @@
         onNotRepeatable = action;
     }
 
+    /** Sets the action to run whenever reading from the client is paused or, with false, goes on. */
+    void onReadingPaused(Consumer<Boolean> action) {
+        onReadingPaused = action;
+    }
+
     /** Sets the header that gives the backend the body's length or its transfer coding. */
     void setLengthHeader(HttpHeaders headers) {
         if (length >= 0) {
@@ -245,13 +253,28 @@
             return;
         }
         boolean writable = transfers.stream().allMatch(transfer -> transfer.channel.isWritable());
-        if (writable && readingPaused) {
-            earlierPausesNs += System.nanoTime() - pauseStartNs;
-        } else if (!writable && !readingPaused) {
+        boolean changes = writable == readingPaused;
+        if (changes && writable) {
+            resumedNs = System.nanoTime();
+            earlierPausesNs += resumedNs - pauseStartNs;
+        } else if (changes) {
             pauseStartNs = System.nanoTime();
         }
         readingPaused = !writable;
         client.config().setAutoRead(writable);
+        if (changes) {
+            onReadingPaused.accept(readingPaused);
+        }
+    }
+
+    /** Returns whether reading from the client is paused. */
+    boolean isReadingPaused() {
+        return readingPaused;
+    }
+
+    /** Returns for how long the client has been read since the last pause; 0 during a pause. */
+    long readingForMs() {
+        return readingPaused ? 0 : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - resumedNs);
     }
 
     /** Returns the duration of the current pause in reading from the client; 0 if reading is not paused. */
