Join the small parts of large bodies, and read a bounded amount a turn

Change: PartCollector joins parts under 2 kB, for uploads and streamed answers, up to 16 kB and at the latest at the end of a read; an upload flushes once a read. A connection's turn ends with one buffer of the size that its share allows (2 to 32 kB of 1 MB for all). When a client's close is looked for, up to 16 such turns are read at once, as before (512 kB). Bytes that are dropped are still noted as received. Found on the way: the drop of bytes sent ahead failed where the request before them closed the connection (NoSuchElementException, seen once in survivesHeadsSentAhead).

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -93,6 +93,8 @@
 
     /** Maximum reads of one connection per loop turn: a usual request and the end of stream after it. */
     private static final int MAX_READS_PER_TURN = 16;
+    /** Maximum number of a connection's turns that are read at once when its client's close is looked for. */
+    private static final int MAX_TURNS_AT_ONCE = 16;
 
     /** Maximum number of requests of one connection that begin in a turn of the loop. */
     private static final int MAX_REQUESTS_PER_TURN = 4;
@@ -373,6 +375,8 @@
         /** Whether bytes have arrived since the last request. */
         private boolean bytesArrivedSinceRequest;
         private long lastReceivedMs = openedMs;
+        /** Number of reads that have received bytes. */
+        private long reads;
         /** Timer that closes the connection if the client doesn't send the rest of its request in time. */
         private Future<?> requestTimeout;
 
@@ -412,16 +416,29 @@
 
         /** Reads the bytes that the system has received; doesn't wait for the event loop, which may lag. */
         private void readNow() {
-            if (!readNowRunning && channel.isActive() && channel.config().isAutoRead()) {
+            if (!readNowRunning && channel.config().isAutoRead()) {
                 readNowRunning = true;
                 try {
-                    ((NioUnsafe) channel.unsafe()).read();
+                    readAll();
                 } finally {
                     readNowRunning = false;
                 }
             }
         }
 
+        /**
+         * Reads until no bytes are left, up to a limit: a client's close lies behind what it has sent. Within a
+         * body, which takes long to process, it reads once.
+         */
+        private void readAll() {
+            int turns = receivingBody ? 1 : MAX_TURNS_AT_ONCE;
+            long readsBefore = -1;
+            for (int i = 0; i < turns && readsBefore != reads && channel.isActive(); i++) {
+                readsBefore = reads;
+                ((NioUnsafe) channel.unsafe()).read();
+            }
+        }
+
         /**
          * Returns whether the client is still connected, reading first if nothing was received lately: the
          * client's close may be unread while the loop lags, and a delayed request must not be sent to a
@@ -485,6 +502,7 @@
             if (!bytesArrivedSinceRequest && head == null && proven) {
                 startRequestTimeout();
             }
+            reads++;
             noteUploadCaughtUp();
             bytesArrivedSinceRequest = true;
             lastReceivedMs = nowMs();
@@ -775,9 +793,7 @@
          * request's time is over. Reads first, also during a pause, as the close may be unread.
          */
         private void completeUpload(Upload uploaded, long writtenUs) {
-            if (upload == uploaded && channel.isActive()) {
-                ((NioUnsafe) channel.unsafe()).read();
-            }
+            readAll();
             if (upload != uploaded || !channel.isActive()) {
                 return;
             }
@@ -1038,6 +1054,7 @@
         private final boolean endsWithConnection;
         /** Whether this is the connection's last answer. */
         private final boolean last;
+        private final PartCollector collector;
         /** Number of bytes received from the backend. */
         private long receivedBytes;
         /** Number of bytes written to the client's socket at the latest stall check. */
@@ -1050,6 +1067,7 @@
             this.connection = connection;
             this.channel = connection.channel;
             this.exchange = exchange;
+            this.collector = new PartCollector(part -> channel.write(new DefaultHttpContent(part)));
             HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
             endsWithConnection = length < 0
                     && connection.head.protocolVersion().equals(HttpVersion.HTTP_1_0);
@@ -1085,17 +1103,19 @@
         @Override
         public boolean write(ByteBuf content) {
             receivedBytes += content.readableBytes();
-            channel.write(new DefaultHttpContent(content));
+            collector.add(content);
             return channel.isWritable();
         }
 
         @Override
         public void flush() {
+            collector.flush();
             channel.flush();
         }
 
         @Override
         public void complete() {
+            collector.flush();
             connection.streamedAnswer = null;
             connection.pending = null;
             if (last) {
@@ -1113,6 +1133,7 @@
         /** Closes the connection so that the client sees a truncated answer, by framing or by a reset. */
         @Override
         public void abort() {
+            collector.flush();
             stop(false);
             connection.streamedAnswer = null;
             if (endsWithConnection) {
@@ -1126,6 +1147,7 @@
 
         private void stop(boolean written) {
             stallCheck.cancel(false);
+            collector.discard();
             writeBufferShares.remove(channel);
             delivery.ended(written);
         }
--- a/src/main/java/larkworks/proxy/ReadBufferAllocator.java
+++ b/src/main/java/larkworks/proxy/ReadBufferAllocator.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.ChannelConfig;
 import io.netty.channel.RecvByteBufAllocator;
 import java.util.function.IntSupplier;
 
@@ -17,8 +18,11 @@
     private static final int MIN_BYTES = 512;
     private static final int INITIAL_BYTES = 2 << 10;
     private static final int MAX_BYTES = 32 << 10;
-    /** Limit for one read buffer of each open connection together, down to the initial size. */
-    private static final int TOTAL_BYTES = 4 << 20;
+    /**
+     * Limit for one read buffer of each open connection together, down to the initial size. It also limits
+     * what is read in a turn of the loop, as parts of few bytes take long to process.
+     */
+    private static final int TOTAL_BYTES = 1 << 20;
 
     private final IntSupplier openConnections;
 
@@ -42,14 +46,33 @@
         return new HeapHandle(super.newHandle());
     }
 
-    /** Allocates on the heap. */
+    /** Allocates on the heap, and ends a channel's turn once it has read a buffer of the maximum size. */
     @SuppressWarnings("deprecation")
     private final class HeapHandle extends RecvByteBufAllocator.DelegatingHandle {
 
+        private int bytesInTurn;
+
         HeapHandle(RecvByteBufAllocator.Handle sizes) {
             super(sizes);
         }
 
+        @Override
+        public void reset(ChannelConfig config) {
+            super.reset(config);
+            bytesInTurn = 0;
+        }
+
+        @Override
+        public void lastBytesRead(int bytes) {
+            super.lastBytesRead(bytes);
+            bytesInTurn += Math.max(0, bytes);
+        }
+
+        @Override
+        public boolean continueReading() {
+            return bytesInTurn < maxBytes() && super.continueReading();
+        }
+
         @Override
         public ByteBuf allocate(ByteBufAllocator allocator) {
             return allocator.heapBuffer(Math.min(guess(), maxBytes()));
--- a/src/main/java/larkworks/proxy/RequestDecoder.java
+++ b/src/main/java/larkworks/proxy/RequestDecoder.java
@@ -83,11 +83,12 @@
         noteArrival(((ByteBuf) bytes).readableBytes());
         super.channelRead(channelContext, bytes);
         countBytes();
-        if (!dropped && !takesMessages.getAsBoolean()
+        if (!dropped && !context.isRemoved() && !takesMessages.getAsBoolean()
                 && (countedBytes > MAX_AHEAD_BYTES || !budget.fits(0))) {
             // Further bytes are read and dropped undecoded.
             dropped = true;
-            channelContext.pipeline().addFirst(new LingeringClose.DiscardHandler());
+            channelContext.pipeline().addBefore(channelContext.name(), null,
+                    new LingeringClose.DiscardHandler());
         }
     }
 
--- a/src/main/java/larkworks/proxy/Upload.java
+++ b/src/main/java/larkworks/proxy/Upload.java
@@ -68,9 +68,9 @@
             if (buffered == null) {
                 return;
             }
-            int from = sentBytes;
-            sentBytes = buffered.writerIndex();
-            if (from < sentBytes) {
+            while (buffered != null && isAttached() && sentBytes < buffered.writerIndex()) {
+                int from = sentBytes;
+                sentBytes = Math.min(buffered.writerIndex(), from + MAX_WRITE_BYTES);
                 unwrittenBuffers++;
                 write(buffered.retainedSlice(from, sentBytes - from)).addListener(done -> {
                     unwrittenBuffers--;
@@ -94,12 +94,19 @@
         }
     }
 
+    /** Buffered bytes are written once there are so many, and in writes of this size. */
+    private static final int MAX_WRITE_BYTES = 16 << 10;
+
     private final Channel client;
     private final WriteBufferShares writeBufferShares;
     /** The body's length as given by the client; negative for a chunked body. */
     private final long length;
     /** All bytes received so far; null once too many were written for the body to be sent again. */
     private ByteBuf buffered;
+    /** Number of buffered bytes that the attached backends were written. */
+    private int writtenBytes;
+    /** Joins small parts, once bytes are not buffered any more. */
+    private final PartCollector collector = new PartCollector(this::writePart);
     /** Number of writes of buffered bytes that the channels' write buffers still hold. */
     private int unwrittenBuffers;
     /** The transfers to the attached backends: one, or two while a hedged attempt is in flight. */
@@ -168,13 +175,11 @@
         Transfer transfer = new Transfer(channel, writeListener);
         transfers.add(transfer);
         writeBufferShares.add(channel);
-        transfer.writeBuffered();
+        writeBuffered();
         if (complete && transfer.isAttached()) {
             transfer.writeEnd();
         }
-        releaseIfSent();
         flush();
-        updateReading();
     }
 
     /** Stops sending the body on this channel; has no effect if the body is not being sent on it. */
@@ -195,21 +200,37 @@
         return transfers.isEmpty() && buffered != null;
     }
 
-    /** Takes ownership of the next part of the body. */
+    /** Takes ownership of the next part of the body; it is written at the latest at {@link #flush}. */
     void addPart(ByteBuf content) {
         if (discarded) {
             content.release();
             return;
         }
-        if (buffered != null) {
+        if (buffered == null) {
+            collector.add(content);
+        } else {
             buffered.writeBytes(content);
+            content.release();
+            if (buffered.writerIndex() - writtenBytes >= MAX_WRITE_BYTES) {
+                writeBuffered();
+                updateReading();
+            }
+        }
+    }
+
+    /** Writes the buffered bytes to the attached backends, and releases them if there were too many. */
+    private void writeBuffered() {
+        if (buffered != null) {
+            writtenBytes = buffered.writerIndex();
             forEachTransfer(Transfer::writeBuffered);
             releaseIfSent();
-            flush();
-        } else {
-            forEachTransfer(transfer -> transfer.write(content.retainedDuplicate()));
         }
-        content.release();
+    }
+
+    /** Writes a part to the attached backends. */
+    private void writePart(ByteBuf part) {
+        forEachTransfer(transfer -> transfer.write(part.retainedDuplicate()));
+        part.release();
         updateReading();
     }
 
@@ -224,13 +245,21 @@
         ByteBuf part = lastPart;
         lastPart = null;
         addPart(part);
+        writePending();
         complete = true;
         forEachTransfer(Transfer::writeEnd);
     }
 
     /** Flushes the writes to the backend; to be called after each batch of reads from the client. */
     void flush() {
+        writePending();
         forEachTransfer(transfer -> transfer.channel.flush());
+        updateReading();
+    }
+
+    private void writePending() {
+        writeBuffered();
+        collector.flush();
     }
 
     /**
@@ -243,6 +272,7 @@
             lastPart.release();
             lastPart = null;
         }
+        collector.discard();
         releaseBuffered();
         client.config().setAutoRead(true);
     }
--- a/src/test/java/larkworks/proxy/UploadRetryTest.java
+++ b/src/test/java/larkworks/proxy/UploadRetryTest.java
@@ -172,6 +172,7 @@
         upload.attach(first, written -> { });
         upload.attach(second, written -> { });
         upload.addPart(Unpooled.copiedBuffer(body, HELD_BYTES, HELD_BYTES));
+        upload.flush();
         upload.detach(first);
         upload.setLastPart(Unpooled.copiedBuffer(body, 2 * HELD_BYTES, BODY_BYTES - 2 * HELD_BYTES));
         upload.complete();
