End the counting of a connection's bytes when it counts as closed

Cause: a connection is taken off the count of connections by its close future, its undecoded bytes by channelInactive, a task that runs later; the check of the shutdown fell between the two. Since partial heads are counted that is easy to hit; bodies had the same gap. Change: both are taken off in the close future's listener. Measured: RequestDecoderTest.countsNothingOfAConnectionThatHasClosed, 9 bytes before, none after. Callers saw nothing of it.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -390,6 +390,7 @@
             channel.closeFuture().addListener(closed -> {
                 openConnections--;
                 setRequestTimeout(null);
+                releaseReserved();
                 sockets.release();
                 driver.invariants().check(
                         openConnections >= 0 && buffered.usedBytes() >= 0 && sockets.isConsistent(),
--- a/src/main/java/larkworks/proxy/RequestDecoder.java
+++ b/src/main/java/larkworks/proxy/RequestDecoder.java
@@ -76,6 +76,11 @@
     @Override
     public void handlerAdded(ChannelHandlerContext addedContext) {
         context = addedContext;
+        // The connection counts as closed from then on, before its handlers are notified.
+        context.channel().closeFuture().addListener(closed -> {
+            budget.remove(countedBytes);
+            countedBytes = 0;
+        });
     }
 
     @Override
@@ -113,7 +118,7 @@
     }
 
     private void countBytes() {
-        int undecodedBytes = context.isRemoved() ? 0 : undecodedBytes();
+        int undecodedBytes = context.isRemoved() || !context.channel().isOpen() ? 0 : undecodedBytes();
         budget.add(undecodedBytes - countedBytes);
         countedBytes = undecodedBytes;
     }
