Bound the system's send buffer to clients, so that slow progress is seen

Change: 128 kB asked for (the system doubles it): room is told of every 1.5 s or so at 64 kB a second, and a whole buffered answer fits.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -96,6 +96,11 @@
     /** Maximum number of a connection's turns that are read at once when its client's close is looked for. */
     private static final int MAX_TURNS_AT_ONCE = 16;
 
+    /**
+     * Size of the system's send buffer, which reports room once about a third of it is free. It holds a whole
+     * answer that was buffered, and a client that takes 64 kB a second makes progress every few seconds.
+     */
+    private static final int SEND_BUFFER_BYTES = 128 << 10;
     /** Maximum number of requests of one connection that begin in a turn of the loop. */
     private static final int MAX_REQUESTS_PER_TURN = 4;
     /** Maximum time in a turn of the loop for requests that were sent ahead. */
@@ -152,6 +157,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.ALLOCATOR, Sockets.HEAP_BUFFERS)
+                .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 // Reads on after a short read, as the end of stream may follow: the client may have closed.
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, sockets.readBufferAllocator()
                         .respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_TURN))
--- a/src/test/java/larkworks/proxy/SlowServerTest.java
+++ b/src/test/java/larkworks/proxy/SlowServerTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -125,4 +126,31 @@
             assertEquals(parts * 2_000, client.answer().body().length);
         }
     }
+
+    /** The client takes the rest at full speed, as the system keeps megabytes of an answer that is cut off. */
+    @Test
+    void passesOnAllOfAnAnswerThatItsClientTakesAt64KilobytesASecond() throws Exception {
+        int answerBytes = 32_000_000;
+        int slowMs = 32_000;
+        int bytesPerMs = 64;
+        ScriptedServer.Script script = exchange -> {
+            exchange.send("HTTP/1.1 200 OK\r\nContent-Length: " + answerBytes + "\r\n\r\n");
+            exchange.send("x".repeat(answerBytes));
+        };
+        try (ScriptedServer server = new ScriptedServer(script); TestBench bench = start(server)) {
+            InputStream in = bench.client().sendLook("slow", BUDGET_MS).socket().getInputStream();
+            ScriptedServer.readHead(in);
+            byte[] buffer = new byte[1 << 13];
+            long startNs = System.nanoTime();
+            int taken = 0;
+            for (int read = 0; read >= 0 && taken < answerBytes; taken += Math.max(0, read)) {
+                long dueNs = startNs + TimeUnit.MILLISECONDS.toNanos(taken / bytesPerMs);
+                if (taken < slowMs * bytesPerMs) {
+                    TimeUnit.NANOSECONDS.sleep(dueNs - System.nanoTime());
+                }
+                read = in.read(buffer);
+            }
+            assertEquals(answerBytes, taken, "the answer was cut off");
+        }
+    }
 }
