Hold back an attempt whose request ends while its client is read

Cause: SendGuard looks whether the request has ended, then reads the client's connection to see whether it has left; that reading may itself end the request (here: no memory for more of its body, 503), and the attempt went out all the same. Its server got a head and never the body's end. Change: the guard looks again after the reading.

--- a/src/main/java/larkworks/proxy/SendGuard.java
+++ b/src/main/java/larkworks/proxy/SendGuard.java
@@ -30,11 +30,15 @@
      */
     static Decision decide(UpstreamAttempt attempt, RequestClass requestClass, boolean excluded, long leftMs,
             long nowUs) {
-        if (attempt.ended) {
-            return Decision.ATTEMPT_ENDED;
+        Decision ended = decideIfEnded(attempt);
+        if (ended != Decision.SEND) {
+            return ended;
         }
-        if (attempt.request.isAnswered()) {
-            return Decision.ANSWERED;
+        // Reads from the client, which may end the request.
+        boolean connected = attempt.request.client.isConnected();
+        ended = decideIfEnded(attempt);
+        if (ended != Decision.SEND) {
+            return ended;
         }
         Upload upload = attempt.request.inbound.upload();
         if (upload != null && !upload.isRepeatable()) {
@@ -49,7 +53,14 @@
         if (!isSafeToRepeat(attempt, requestClass, nowUs)) {
             return Decision.MAY_HAVE_RUN;
         }
-        return attempt.request.client.isConnected() ? Decision.SEND : Decision.CLIENT_LEFT;
+        return connected ? Decision.SEND : Decision.CLIENT_LEFT;
+    }
+
+    private static Decision decideIfEnded(UpstreamAttempt attempt) {
+        if (attempt.ended) {
+            return Decision.ATTEMPT_ENDED;
+        }
+        return attempt.request.isAnswered() ? Decision.ANSWERED : Decision.SEND;
     }
 
     /** Returns whether the request may be sent again, given the outcomes of its earlier attempts. */
--- a/src/test/java/larkworks/proxy/RecordingClient.java
+++ b/src/test/java/larkworks/proxy/RecordingClient.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** A client that stays connected; records the driver's answers, and with each how to report its delivery. */
-final class RecordingClient implements RequestClient {
+class RecordingClient implements RequestClient {
 
     private final List<String> answers = new ArrayList<>();
     private final List<DeliveryListener> deliveries = new ArrayList<>();
--- a/src/test/java/larkworks/proxy/SendGuardTest.java
+++ b/src/test/java/larkworks/proxy/SendGuardTest.java
@@ -53,4 +53,24 @@
         assertNull(nextBackend.readOutbound(), "a part of the body was sent without its beginning");
         backend.releaseOutbound();
     }
+
+    /** Guards against an attempt for a request that ended as its client was read for the last time. */
+    @Test
+    void holdsBackAttemptWhoseRequestEndsWhileItsClientIsRead() {
+        PendingRequest[] request = new PendingRequest[1];
+        RecordingClient client = new RecordingClient() {
+            @Override
+            public boolean isConnected() {
+                request[0].recordAnswer(Meters.Result.GONE, 0);
+                return true;
+            }
+        };
+        InboundRequest inbound = new InboundRequest("r", HttpMethod.POST, "/look", null, new byte[0], null,
+                null, 0, 0, 2_000_000, 0, false, 0);
+        request[0] = new PendingRequest("1", inbound, client, 0, 2_000_000, null);
+        UpstreamAttempt attempt = new UpstreamAttempt(request[0], 0, "b0", 0, null);
+        request[0].attempts.add(attempt);
+        assertEquals(SendGuard.Decision.ANSWERED,
+                SendGuard.decide(attempt, SAFE_CLASS, false, LEFT_MS, 0));
+    }
 }
