--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -132,7 +132,8 @@
         Bootstrap connectionBootstrap = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(HEADERS), connection);
+                channel.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(HEADERS),
+                        connection);
             }
         });
         connection.channel = sockets.connect(connectionBootstrap, loop, address, connectFuture -> {
--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -281,7 +281,8 @@
                         protected void initChannel(SocketChannel newChannel) {
                             newChannel.pipeline().addLast(
                                     new ReadNotifier(() -> answerBytesReceived(newChannel)),
-                                    new HttpRequestEncoder(), new ResponseDecoder(HEADERS), new AnswerReader());
+                                    new HttpRequestEncoder(), new ResponseDecoder(HEADERS),
+                                    new AnswerReader());
                         }
                     });
             channel = sockets.connectReserved(bootstrap, loop, addresses.get(addressIndex), connectFuture -> {
--- a/src/main/java/larkworks/proxy/EarliestWriteTime.java
+++ b/src/main/java/larkworks/proxy/EarliestWriteTime.java
@@ -2,8 +2,8 @@
 
 /**
  * A lower bound of the time at which a client can have written the last byte of its body. While the client is
- * not read, as no backend takes more of the body, all that is left of it may be in the systems' buffers. Times
- * are in microseconds by the driver's clock.
+ * not read, as no backend takes more of the body, all that is left of it may be in the systems' buffers.
+ * Times are in microseconds by the driver's clock.
  */
 final class EarliestWriteTime {
 
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -434,8 +434,8 @@
         }
 
         /**
-         * Reads until no bytes are left, up to a limit: a client's close lies behind what it has sent. Within a
-         * body, which takes long to process, it reads once.
+         * Reads until no bytes are left, up to a limit: a client's close lies behind what it has sent. Within
+         * a body, which takes long to process, it reads once.
          */
         private void readAll() {
             int turns = receivingBody ? 1 : MAX_TURNS_AT_ONCE;
@@ -844,7 +844,8 @@
                 driver.clientGone(abandoned);
             }
             if (streamedAnswer == null) {
-                answer(reason.status(), reason.getMessage().getBytes(StandardCharsets.US_ASCII), "text/plain");
+                answer(reason.status(), reason.getMessage().getBytes(StandardCharsets.US_ASCII),
+                        "text/plain");
             } else {
                 closeNow(CloseReason.REQUEST_BROKEN);
             }
--- a/src/main/java/larkworks/proxy/RelevantHeaders.java
+++ b/src/main/java/larkworks/proxy/RelevantHeaders.java
@@ -6,8 +6,8 @@
 import io.netty.handler.codec.http.HttpHeadersFactory;
 
 /**
- * Header fields of a message that is being decoded, of which only those that the proxy reads are kept: a field
- * of four bytes takes over a hundred bytes of memory. All fields are validated.
+ * Header fields of a message that is being decoded, of which only those that the proxy reads are kept: a
+ * field of four bytes takes over a hundred bytes of memory. All fields are validated.
  */
 final class RelevantHeaders extends DefaultHttpHeaders {
 
--- a/src/test/java/larkworks/proxy/ConnectionClosingTest.java
+++ b/src/test/java/larkworks/proxy/ConnectionClosingTest.java
@@ -129,8 +129,8 @@
     // ---- connections without a request in flight, and unproven ones
 
     /**
-     * The answers exceed the kernel's send buffer; the proxy keeps the rest while no request follows. It takes
-     * no further request while it keeps more than its limit of one client, and then takes that one too.
+     * The answers exceed the kernel's send buffer; the proxy keeps the rest while no request follows. It
+     * takes no further request while it keeps more than its limit of one client, and then takes that one too.
      */
     @Test
     void finishesWritingAnswersBeforeClosingIdleConnection() throws Exception {
--- a/src/test/java/larkworks/proxy/MemoryPressureTest.java
+++ b/src/test/java/larkworks/proxy/MemoryPressureTest.java
@@ -15,8 +15,8 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * A proxy process with the deployed heap and 1,024 descriptors, while hundreds of clients at once make it hold
- * as much as they can. The process must not end, and another client's requests are answered in time.
+ * A proxy process with the deployed heap and 1,024 descriptors, while hundreds of clients at once make it
+ * hold as much as they can. The process must not end, and another client's requests are answered in time.
  */
 @Timeout(120)
 class MemoryPressureTest {
--- a/src/test/java/larkworks/proxy/SlowServerTest.java
+++ b/src/test/java/larkworks/proxy/SlowServerTest.java
@@ -65,7 +65,8 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"116940,980231,true", "116940,5000000,true", "116940,5000000,false", "400000,5000000,true", "0,5000000,true", "0,5000000,false"})
+    @CsvSource({"116940,980231,true", "116940,5000000,true", "116940,5000000,false",
+        "400000,5000000,true", "0,5000000,true", "0,5000000,false"})
     void answersInTimeThoughTheServerReadsALargeBodySlowly(int bytesPerSecond, int bodyBytes,
             boolean chunked) throws Exception {
         try (ScriptedServer server = new ScriptedServer(reader(bytesPerSecond), READ_BYTES);
@@ -127,7 +128,7 @@
         }
     }
 
-    /** The client takes the rest at full speed, as the system keeps megabytes of an answer that is cut off. */
+    /** The client takes the rest at full speed, as the system keeps megabytes of an answer cut off. */
     @Test
     void passesOnAllOfAnAnswerThatItsClientTakesAt64KilobytesASecond() throws Exception {
         int answerBytes = 32_000_000;
