Close a connection whose upload stalls once its request is answered; wording

Since a backend that takes nothing of an upload for 10 s fails the request; where that is answered already, nothing closed the connection any more. It is closed as before.

--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -611,7 +611,8 @@
     void failUpload(PendingRequest pending) {
         if (LOG.isDebugEnabled()) {
             LOG.atDebug().addKeyValue("request", pending.inbound.callId())
-                    .addKeyValue("state", pending.describe(clock.nowUs())).log("upload not taken in time");
+                    .addKeyValue("state", pending.describe(clock.nowUs()))
+                    .log("no backend took the upload in time");
         }
         failBeforeDeadline(pending);
     }
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -643,9 +643,10 @@
                 if (!receivingBody || closing || !channel.isActive()) {
                     return;
                 }
-                if (upload != null && upload.currentPauseMs() > STALL_TIMEOUT_MS && pending != null) {
+                boolean stalled = upload != null && upload.currentPauseMs() > STALL_TIMEOUT_MS;
+                if (stalled && pending != null && !pending.isAnswered()) {
                     driver.failUpload(pending);
-                } else if (bodyDeadlineMs() <= nowMs()) {
+                } else if (stalled || bodyDeadlineMs() <= nowMs()) {
                     closeNow(CloseReason.BODY_LATE);
                 } else {
                     scheduleBodyCheck();
@@ -718,7 +719,7 @@
             long length = HttpFraming.bodyLength(head);
             upload = new Upload(channel, writeBufferShares, length, body, this::releaseReserved);
             writeTime = new EarliestWriteTime(length);
-            upload.onReadingPaused(this::uploadPaused);
+            upload.onReadingChanged(this::uploadReadingChanged);
             body = null;
             dispatch(parsedRequest.withBody(null, upload, arrivalUs));
             if (upload != null) {
@@ -727,7 +728,7 @@
         }
 
         /** During a pause the client may write all of the body though not all of it is read. */
-        private void uploadPaused(boolean paused) {
+        private void uploadReadingChanged(boolean paused) {
             if (!paused) {
                 uploadResumedPoll = polls.polls();
                 return;
--- a/src/main/java/larkworks/proxy/RelevantHeaders.java
+++ b/src/main/java/larkworks/proxy/RelevantHeaders.java
@@ -47,7 +47,7 @@
             return this;
         }
         if (++fields > MAX_FIELDS) {
-            throw new IllegalArgumentException("over " + MAX_FIELDS + " fields of the protocol's");
+            throw new IllegalArgumentException("more than " + MAX_FIELDS + " relevant header fields");
         }
         return super.add(name, value);
     }
--- a/src/main/java/larkworks/proxy/Upload.java
+++ b/src/main/java/larkworks/proxy/Upload.java
@@ -124,7 +124,7 @@
     private long earlierPausesNs;
     private final Runnable onReleased;
     private Runnable onNotRepeatable = () -> { };
-    private Consumer<Boolean> onReadingPaused = paused -> { };
+    private Consumer<Boolean> onReadingChanged = paused -> { };
     /** When reading from the client last went on after a pause. */
     private long resumedNs = System.nanoTime();
 
@@ -147,9 +147,9 @@
         onNotRepeatable = action;
     }
 
-    /** Sets the action to run whenever reading from the client is paused or, with false, goes on. */
-    void onReadingPaused(Consumer<Boolean> action) {
-        onReadingPaused = action;
+    /** Sets the action to run when reading from the client is paused (true) or goes on (false). */
+    void onReadingChanged(Consumer<Boolean> action) {
+        onReadingChanged = action;
     }
 
     /** Sets the header that gives the backend the body's length or its transfer coding. */
@@ -293,7 +293,7 @@
         readingPaused = !writable;
         client.config().setAutoRead(writable);
         if (changes) {
-            onReadingPaused.accept(readingPaused);
+            onReadingChanged.accept(readingPaused);
         }
     }
 
--- a/src/test/java/larkworks/proxy/DeployedProxy.java
+++ b/src/test/java/larkworks/proxy/DeployedProxy.java
@@ -1,5 +1,8 @@
 package larkworks.proxy;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -117,19 +120,24 @@
         return late;
     }
 
-    boolean isAlive() {
-        return process.isAlive();
+    /** Checks that the process lives, has logged no error, and that no probe was answered late. */
+    void assertUnharmed(List<String> lateProbes) throws IOException {
+        List<String> errors = errorsLogged();
+        assertTrue(process.isAlive(), "the process ended; " + errors);
+        System.out.println("peak of resident memory: " + peakKb() + " kB");
+        assertEquals(List.of(), errors);
+        assertEquals(List.of(), lateProbes);
     }
 
     /** Returns the peak of the resident memory so far, in kB. */
-    long peakKb() throws IOException {
+    private long peakKb() throws IOException {
         return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
                 .filter(line -> line.startsWith("VmHWM:"))
                 .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", ""))).sum();
     }
 
     /** Returns the first lines of the log that tell of errors. */
-    List<String> errorsLogged() throws IOException {
+    private List<String> errorsLogged() throws IOException {
         return Files.readAllLines(folder.resolve("log")).stream()
                 .filter(line -> line.contains("OutOfMemory") || line.contains("\"level\":\"ERROR\"")
                         || line.contains("Exception in thread")).limit(5).toList();
--- a/src/test/java/larkworks/proxy/FloodedConnectionTest.java
+++ b/src/test/java/larkworks/proxy/FloodedConnectionTest.java
@@ -1,8 +1,5 @@
 package larkworks.proxy;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
@@ -58,11 +55,7 @@
             ScriptedServer.daemon(() -> flood(proxy, flood, over));
             List<String> late = proxy.probe("other", BUDGET_MS, LATE_MS, PROBE_INTERVAL_MS, FLOOD_MS);
             over.set(true);
-            List<String> errors = proxy.errorsLogged();
-            assertTrue(proxy.isAlive(), "the process ended; " + errors);
-            System.out.println("peak of resident memory: " + proxy.peakKb() + " kB");
-            assertEquals(List.of(), errors);
-            assertEquals(List.of(), late);
+            proxy.assertUnharmed(late);
         } finally {
             over.set(true);
         }
