--- a/src/main/java/larkworks/scale/PathClient.java
+++ b/src/main/java/larkworks/scale/PathClient.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
@@ -19,7 +20,10 @@
     private final String idPrefix;
     private Histogram times = Distribution.histogram();
     private long calls;
-    private long failed;
+    private final List<Failure> failures = new ArrayList<>();
+
+    /** A call without an answer of status 200; the status is 0 if its connection was lost. */
+    record Failure(String callId, int status, long afterMs) { }
 
     PathClient(EventLoop loop, InetSocketAddress from, List<InetSocketAddress> to, String idPrefix) {
         this.loop = loop;
@@ -43,14 +47,14 @@
         return Distribution.of(times);
     }
 
-    long failed() {
-        return failed;
+    List<Failure> failures() {
+        return List.copyOf(failures);
     }
 
     /** Counts anew. */
     void clear() {
         times = Distribution.histogram();
-        failed = 0;
+        failures.clear();
     }
 
     private final class Caller implements ServiceConnection.Client {
@@ -58,6 +62,7 @@
         private final ServiceConnection connection;
         private long sentNs = System.nanoTime();
         private boolean calling = true;
+        private String callId = "";
 
         Caller(int at) {
             this.at = at;
@@ -67,8 +72,9 @@
         void send() {
             calling = true;
             sentNs = System.nanoTime();
-            connection.get("/read", Map.of("X-Call-Id", String.format("%s%012x", idPrefix, calls),
-                    "X-Call-Class", "read", "X-Budget-Ms", "1000"));
+            callId = String.format("%s%012x", idPrefix, calls);
+            connection.get("/read", Map.of("X-Call-Id", callId, "X-Call-Class", "read", "X-Budget-Ms",
+                    "1000"));
         }
 
         @Override
@@ -82,15 +88,21 @@
             if (answer.status() == 200) {
                 times.recordValue((System.nanoTime() - sentNs) / 1_000);
             } else {
-                failed++;
+                addFailure(answer.status());
             }
             idle.get(at).add(this);
         }
 
         @Override
         public void lost() {
-            failed += calling ? 1 : 0;
+            if (calling) {
+                addFailure(0);
+            }
             idle.get(at).remove(this);
         }
+
+        private void addFailure(int status) {
+            failures.add(new Failure(callId, status, (System.nanoTime() - sentNs) / 1_000_000));
+        }
     }
 }
--- a/src/main/java/larkworks/scale/PathRun.java
+++ b/src/main/java/larkworks/scale/PathRun.java
@@ -36,6 +36,7 @@
     private final Path folder;
     private final ServiceProcess service;
     private Process proxy;
+    private PathClient proxied;
 
     PathRun(PathScenario scenario, long seed) throws IOException {
         this.scenario = scenario;
@@ -49,23 +50,29 @@
         List<InetSocketAddress> backends = serve(discovery);
         InetSocketAddress address = startProxy(discovery);
         PathClient direct = new PathClient(clients, ListRun.local(5, 0), backends, "d1ec");
-        PathClient proxied = new PathClient(clients, ListRun.local(5, 1), List.of(address), "b09d");
+        proxied = new PathClient(clients, ListRun.local(5, 1), List.of(address), "b09d");
         ProcessFigures figures = new ProcessFigures(proxy);
-        drive(direct, proxied, callsPerS, scenario.warmS());
+        drive(direct, callsPerS, scenario.warmS());
         double idleCores = cores(figures, () -> pause(scenario.seconds() / 3));
         clients.submit(() -> {
             direct.clear();
             proxied.clear();
         }).get();
-        double cores = cores(figures, () -> drive(direct, proxied, callsPerS, scenario.seconds()));
+        double cores = cores(figures, () -> drive(direct, callsPerS, scenario.seconds()));
         Distribution without = clients.submit(direct::times).get();
         Distribution with = clients.submit(proxied::times).get();
         return new PathResult("real", callsPerS, ListRun.loadAverage(), without, with,
                 with.median() - without.median(), with.p99() - without.p99(),
-                clients.submit(proxied::failed).get(), idleCores, cores,
+                clients.submit(() -> proxied.failures().size()).get(), idleCores, cores,
                 1e6 * (cores - idleCores) / callsPerS, figures.heapMb(), figures.rssMb());
     }
 
+    /** Describes the calls by the proxy that failed, and what the proxy logged. */
+    String describeFailures() throws Exception {
+        return clients.submit(proxied::failures).get() + " "
+                + Files.readString(folder.resolve("proxy.log"));
+    }
+
     /** Something that takes some time. */
     private interface Work {
         void run() throws Exception;
@@ -83,7 +90,7 @@
     }
 
     /** Calls by the proxy and past it take turns. */
-    private void drive(PathClient direct, PathClient proxied, int callsPerS, double seconds)
+    private void drive(PathClient direct, int callsPerS, double seconds)
             throws Exception {
         long everyNs = 500_000_000L / callsPerS;
         PathClient[] turns = {direct, proxied};
--- a/src/test/java/larkworks/scale/PathRunTest.java
+++ b/src/test/java/larkworks/scale/PathRunTest.java
@@ -14,7 +14,7 @@
         PathScenario scenario = new PathScenario(List.of(), 3, 3, 1, 0.5, 1, List.of("-XX:+UseSerialGC"));
         try (PathRun run = new PathRun(scenario, 1)) {
             PathResult result = run.run(50);
-            assertEquals(0, result.failed(), result.toString());
+            assertEquals(0, result.failed(), result + " " + run.describeFailures());
             assertTrue(result.directMs().count() > 10, result.toString());
             assertTrue(result.proxiedMs().count() > 10, result.toString());
             // The hollow backend's own time is in both.
