Run an unsafe request once whose id comes again, also at another process

Callers saw: a client that left, and sent its request once more with the same id, had it run twice, at the same process or at the other one of an upgrade.

Cause: a request was known by the proxy's own number for it only, so the second sending was another request. Such an id is answered 502, as what became of it is unknown; with an idempotency key it is sent again within the key's window. An id whose attempts are known not to have run is forgotten again.

--- a/src/main/java/larkworks/proxy/Driver.java
+++ b/src/main/java/larkworks/proxy/Driver.java
@@ -22,6 +22,7 @@
 import java.util.stream.Collectors;
 import larkworks.Balancer;
 import larkworks.Balancer.Actions;
+import larkworks.Balancer.Effect;
 import larkworks.Balancer.ListKind;
 import larkworks.Balancer.Outcome;
 import larkworks.Balancer.Request;
@@ -104,6 +105,8 @@
     private final Set<String> inMaintenance = new HashSet<>();
     private final PendingRequests requests;
     private final HealthProbes probes;
+    /** The requests that a backend may have begun to run and that must not run twice. */
+    private StartedRequests startedRequests = StartedRequests.inMemory();
     private final StartTimes startTimes;
     private final Invariants invariants = new Invariants();
     private long lastRequestId;
@@ -336,6 +339,12 @@
         }
     };
 
+    /** Recognizes from now on also the requests that other processes of this proxy have sent. */
+    void shareStartedRequests(StartedRequests shared) {
+        startedRequests.copyTo(shared);
+        startedRequests = shared;
+    }
+
     private int classIndex(String name) {
         return settings.classes().stream().map(RequestClass::name).toList().indexOf(name);
     }
@@ -534,6 +543,11 @@
                     () -> pending.module.balancer.bodyDiscarded(clock.nowUs(), pending.id)));
         }
         events.run(() -> {
+            if (mayHaveRunBefore(pending)) {
+                failRepeated(pending);
+                removeIfEnded(pending);
+                return;
+            }
             try {
                 pending.module.balancer.request(clock.nowUs(), new Request(pending.id, inbound.requestClass(),
                         inbound.tenant(), Math.max(0, deadlineUs - clock.nowUs()), inbound.workUs(),
@@ -545,6 +559,38 @@
         return pending;
     }
 
+    /**
+     * Returns whether a backend may have run the request when its client sent it before, and running it again
+     * is not safe.
+     */
+    private boolean mayHaveRunBefore(PendingRequest pending) {
+        RequestClass requestClass = settings.classes().get(pending.inbound.requestClass());
+        if (requestClass.effect() == Effect.SAFE || pending.isStarted) {
+            return false;
+        }
+        long ageNs = startedRequests.ageNs(pending.inbound.callId(), System.nanoTime());
+        return ageNs != StartedRequests.NOT_STARTED && (requestClass.effect() == Effect.UNSAFE
+                || ageNs >= TimeUnit.MICROSECONDS.toNanos(requestClass.dedupWindowUs()));
+    }
+
+    /** Records that a backend may run the request from now on; returns false if it may have run before. */
+    private boolean markStarted(PendingRequest pending, RequestClass requestClass) {
+        if (requestClass.effect() == Effect.SAFE || pending.isStarted) {
+            return true;
+        }
+        pending.isStarted = startedRequests.add(pending.inbound.callId(), System.nanoTime());
+        return pending.isStarted || !mayHaveRunBefore(pending);
+    }
+
+    /** Answers a request as failed, as its outcome when its client sent it before is unknown. */
+    private void failRepeated(PendingRequest pending) {
+        if (LOG.isDebugEnabled()) {
+            LOG.atDebug().addKeyValue("request", pending.inbound.callId())
+                    .log("request may have run before");
+        }
+        fail(pending.id);
+    }
+
     /**
      * Limits deadlines ahead of a shutdown, in which the process may be killed at any time after
      * {@code maxDeadlineUs}: the deadline of a request received at {@code fromUs} or later is at most
@@ -781,8 +827,13 @@
 
     /** Removes the request once it has ended, and its module if that was an earlier one's last request. */
     private void removeIfEnded(PendingRequest pending) {
-        if (requests.removeIfEnded(pending) && --pending.module.pendingRequests == 0
-                && pending.module != newestModule) {
+        if (!requests.removeIfEnded(pending)) {
+            return;
+        }
+        if (pending.isStarted && pending.attempts.stream().noneMatch(UpstreamAttempt::mayHaveRun)) {
+            startedRequests.remove(pending.inbound.callId(), System.nanoTime());
+        }
+        if (--pending.module.pendingRequests == 0 && pending.module != newestModule) {
             modules.remove(pending.module);
         }
     }
@@ -855,6 +906,10 @@
             }
             return null;
         }
+        if (!markStarted(attempt.request, requestClass)) {
+            events.run(() -> failRepeated(attempt.request));
+            return null;
+        }
         checkSendInvariants(attempt, backend, requestClass, leftMs);
         HttpRequest message = inbound.upload() == null
                 ? new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, inbound.method(), inbound.uri(),
--- a/src/main/java/larkworks/proxy/Maintenance.java
+++ b/src/main/java/larkworks/proxy/Maintenance.java
@@ -13,8 +13,8 @@
 /**
  * Shares state between the processes of this proxy, of which two are alive during a replacement. Stores which
  * backends operators put in maintenance in a folder that outlives the process, checks the folder for commands
- * that the other process received, and passes all of them to the driver. While another process is alive, the
- * descriptors are divided between the two.
+ * that the other process received, and passes all of them to the driver. The folder also holds the ids of
+ * {@link StartedRequests}. While another process is alive, the descriptors are divided between the two.
  */
 final class Maintenance {
 
@@ -52,7 +52,9 @@
     private void openFolder() throws IOException {
         if (store == null) {
             Path folder = createFolder(stateFolder, listenAddress);
+            StartedRequests startedRequests = StartedRequests.shared(folder);
             processLock = new ProcessLock(folder);
+            driver.shareStartedRequests(startedRequests);
             store = new MaintenanceStore(folder);
         }
     }
--- a/src/main/java/larkworks/proxy/PendingRequest.java
+++ b/src/main/java/larkworks/proxy/PendingRequest.java
@@ -30,6 +30,8 @@
     UpstreamAttempt answeringAttempt;
     /** Number of attempts that have not ended. */
     int openAttempts;
+    /** Whether this request's id has been added to the {@link StartedRequests}. */
+    boolean isStarted;
     /** Timer that answers the request as failed shortly before its deadline; null if not started. */
     Future<?> failureTimer;
     /** How the request was answered; null until then. */
--- a/src/test/java/larkworks/proxy/ReplacementTest.java
+++ b/src/test/java/larkworks/proxy/ReplacementTest.java
@@ -24,6 +24,9 @@
 @Timeout(180)
 class ReplacementTest {
 
+    /** Connections after which it is next to certain that each of the two processes has accepted one. */
+    private static final int CONNECTIONS_TO_MEET_BOTH = 24;
+
     @TempDir
     Path folder;
 
@@ -205,6 +208,30 @@
         assertTrue(newProcess.isAlive());
     }
 
+    private TestBench.Client sendUnsafe(String id) throws IOException {
+        return bench.client().send("POST /act HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id
+                + "\r\nX-Call-Class: act\r\nX-Budget-Ms: 2000\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    @Test
+    void runsAnUnsafeRequestOnceWhoseIdComesAgainAtTheOtherProcess() throws Exception {
+        int oldAdminPort = TestBench.freePort();
+        int newAdminPort = TestBench.freePort();
+        startProxy(oldAdminPort);
+        awaitReady(oldAdminPort);
+        startProxy(newAdminPort);
+        awaitReady(newAdminPort);
+        TestBench.Client departed = sendUnsafe("once");
+        while (receivedIds.isEmpty()) {
+            Thread.sleep(1);
+        }
+        departed.socket().close();
+        for (int i = 0; i < CONNECTIONS_TO_MEET_BOTH; i++) {
+            assertEquals(502, sendUnsafe("once").status());
+        }
+        assertEquals(List.of("once"), receivedIds);
+    }
+
     private static void awaitReadiness(int adminPort, int status) throws Exception {
         while (TestBench.callAdmin(adminPort, "GET", "/ops/readiness", "") != status) {
             Thread.sleep(10);
