Soak with large bodies, large answers and ids that come again

"Soak SEED PROXIES SECONDS TROUBLES SERVERS large" has 8 % of the requests carry bodies of 70 to 500 kB (chunked or not, at full speed or 100 kB/s) or want answers of 20 to 400 kB (whole or in parts), and half of the clients that leave send the same id again. An upload that is cut off unanswered is a break. What is large is drawn apart, so other seeds play as before.

--- a/src/test/java/larkworks/soak/Checker.java
+++ b/src/test/java/larkworks/soak/Checker.java
@@ -41,6 +41,10 @@
             checkRepeats(request);
             checkAttempts(request, told);
         }
+        for (Request request : history.sentAgain) {
+            checkAnswer(request);
+            checkAttempts(request, told);
+        }
         history.coldStarts.forEach(this::checkColdStart);
         for (History.BadPeer peer : history.badPeers) {
             if (peer.endedUs() > peer.dueUs() + slackUs(peer.proxy(), peer.dueUs(), peer.endedUs())
@@ -77,6 +81,10 @@
     }
 
     private void checkAnswer(Request request) {
+        if (request.sentUs == History.NEVER && request.answers == 0 && request.cutOffUs != History.NEVER
+                && request.large && !killedAround(request) && !request.answerBegun) {
+            report(request, "its upload was cut off with no answer");
+        }
         if (request.sentUs == History.NEVER || request.clientLeftUs != History.NEVER) {
             return;
         }
@@ -112,12 +120,12 @@
         if (request.answerBegun || killedAround(request)) {
             return;
         }
-        if (request.firstOnConnection && request.attempts.isEmpty() && crowded(request)) {
+        if (request.firstOnConnection && request.ownAttempts().isEmpty() && crowded(request)) {
             return;
         }
         if (request.firstOnConnection) {
             report(request, "its connection was closed with no answer");
-        } else if (!request.attempts.isEmpty()) {
+        } else if (!request.ownAttempts().isEmpty()) {
             report(request, "forwarded, then its connection was closed with no answer");
         }
     }
@@ -147,7 +155,7 @@
     }
 
     private void checkAttempts(Request request, Map<String, Long> told) {
-        for (Attempt attempt : request.attempts) {
+        for (Attempt attempt : request.ownAttempts()) {
             long at = attempt.firstByteUs();
             if (request.clientLeftUs != History.NEVER && at > request.clientLeftUs + GONE_SLACK_US
                     + heldUpUs(request.proxy, request.clientLeftUs, at)) {
@@ -234,7 +242,12 @@
     private static boolean excuses(ProxyLife life, Request request) {
         return life.proxy == request.proxy && life.killedUs != History.NEVER
                 && (life.toldToEndUs == History.NEVER
-                        || request.sentUs <= life.toldToEndUs + TAKEN_AFTER_TERM_US);
+                        || takenUs(request) <= life.toldToEndUs + TAKEN_AFTER_TERM_US);
+    }
+
+    /** When the proxy can have taken the request: a large one, from its first bytes on. */
+    private static long takenUs(Request request) {
+        return request.large ? request.firstSentUs : request.sentUs;
     }
 
     private void report(Request request, String what) {
--- a/src/test/java/larkworks/soak/History.java
+++ b/src/test/java/larkworks/soak/History.java
@@ -46,10 +46,22 @@
         long cutOffUs = NEVER;
         /** Whether the answer had begun when it was cut off: the client can tell that it is not whole. */
         boolean answerBegun;
-        final List<Attempt> attempts = new ArrayList<>();
-        final Set<String> bodies = new HashSet<>();
+        /** All attempts with this id; see {@link #ownAttempts}. */
+        final List<Attempt> attempts;
+        final Set<String> bodies;
+        /** Whether it has a large body. */
+        boolean large;
+        /** When its client sent the same id again on another connection. */
+        long sentAgainUs = NEVER;
 
         Request(String id, Effect effect, int proxy, long budgetUs, boolean firstOnConnection) {
+            this(id, effect, proxy, budgetUs, firstOnConnection, new ArrayList<>(), new HashSet<>());
+        }
+
+        private Request(String id, Effect effect, int proxy, long budgetUs, boolean firstOnConnection,
+                List<Attempt> attempts, Set<String> bodies) {
+            this.attempts = attempts;
+            this.bodies = bodies;
             this.id = id;
             this.effect = effect;
             this.proxy = proxy;
@@ -57,6 +69,20 @@
             this.firstOnConnection = firstOnConnection;
         }
 
+        /** The same request as its client sends it once more, on a new connection. */
+        Request again(long nowUs) {
+            sentAgainUs = nowUs;
+            Request again = new Request(id, effect, proxy, budgetUs, true, attempts, bodies);
+            again.firstSentUs = nowUs;
+            return again;
+        }
+
+        /** The attempts that began after this was sent, and before it was sent again. */
+        List<Attempt> ownAttempts() {
+            return attempts.stream().filter(
+                    a -> a.firstByteUs() >= firstSentUs && a.firstByteUs() < sentAgainUs).toList();
+        }
+
         /** Whether its client still waits for it. */
         boolean open() {
             return answers == 0 && cutOffUs == NEVER && clientLeftUs == NEVER;
@@ -112,6 +138,8 @@
 
     private final long startNanos = System.nanoTime();
     final Map<String, Request> requests = new HashMap<>();
+    /** Requests that their clients have sent again with the same id since. */
+    final List<Request> sentAgain = new ArrayList<>();
     final List<ProxyLife> lives = new ArrayList<>();
     final List<BadPeer> badPeers = new ArrayList<>();
     final List<Pause> pauses = new ArrayList<>();
--- a/src/test/java/larkworks/soak/MessageReader.java
+++ b/src/test/java/larkworks/soak/MessageReader.java
@@ -6,7 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 
-/** Splits bytes into HTTP/1.1 messages whose length is told, the only form that the soak's parts use. */
+/** Splits bytes into HTTP/1.1 messages whose bodies have a Content-Length or are chunked. */
 final class MessageReader {
 
     private static final String HEAD_END = "\r\n\r\n";
@@ -50,6 +50,9 @@
                     lines[i].substring(colon + 1).strip());
         }
         int from = end + HEAD_END.length();
+        if ("chunked".equals(headers.get("transfer-encoding"))) {
+            return nextChunked(lines[0], headers, from);
+        }
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
         if (bytes.length() < from + length) {
             return null;
@@ -59,6 +62,29 @@
         return message;
     }
 
+    /** The chunked message whose body begins there, without trailers; null while its end has not come. */
+    private Message nextChunked(String startLine, Map<String, String> headers, int from) {
+        StringBuilder body = new StringBuilder();
+        int at = from;
+        while (true) {
+            int lineEnd = bytes.indexOf("\r\n", at);
+            if (lineEnd < 0) {
+                return null;
+            }
+            int size = Integer.parseInt(bytes.substring(at, lineEnd), 16);
+            int chunkEnd = lineEnd + 2 + size;
+            if (bytes.length() < chunkEnd + 2) {
+                return null;
+            }
+            body.append(bytes, lineEnd + 2, chunkEnd);
+            at = chunkEnd + 2;
+            if (size == 0) {
+                bytes.delete(0, at);
+                return new Message(startLine, headers, body.toString());
+            }
+        }
+    }
+
     /** Whether a part of a message has come. */
     boolean hasPart() {
         return bytes.length() > 0;
--- a/src/test/java/larkworks/soak/Soak.java
+++ b/src/test/java/larkworks/soak/Soak.java
@@ -27,9 +27,12 @@
  * One randomized run: starts the parts, lets the troubles happen, ends all and has the history judged.
  *
  * <pre>
- * java -cp CLASSPATH larkworks.soak.Soak SEED [PROXIES [SECONDS [TROUBLES [SERVERS]]]]
+ * java -cp CLASSPATH larkworks.soak.Soak SEED [PROXIES [SECONDS [TROUBLES [SERVERS [large]]]]]
  * </pre>
  *
+ * With {@code large}, some requests and answers are large, and some clients that have left send the same id
+ * again.
+ *
  * {@code -Dsoak.keep=0,3} keeps only those troubles of the schedule, to trim a failing one;
  * {@code -Dsoak.syscalls=false} leaves the system calls alone.
  */
@@ -481,7 +484,9 @@
         int seconds = arguments.length > 2 ? Integer.parseInt(arguments[2]) : 20;
         int troubles = arguments.length > 3 ? Integer.parseInt(arguments[3]) : 2 * seconds;
         int servers = arguments.length > 4 ? Integer.parseInt(arguments[4]) : USUAL_SERVERS;
-        SoakSettings settings = drawn(seed, proxies, servers, seconds, troubles);
+        SoakSettings drawn = drawn(seed, proxies, servers, seconds, troubles);
+        boolean large = arguments.length > 5 && arguments[5].equals("large");
+        SoakSettings settings = large ? drawn.withHabits(SoakClient.Habits.LARGE) : drawn;
         List<Trouble> schedule = Trouble.schedule(settings);
         for (int i = 0; i < schedule.size(); i++) {
             System.out.println(i + ": " + schedule.get(i));
--- a/src/test/java/larkworks/soak/SoakClient.java
+++ b/src/test/java/larkworks/soak/SoakClient.java
@@ -18,6 +18,7 @@
 import java.util.Deque;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** The clients of one proxy: some keep to the protocol, some leave, some send in pieces or not at all. */
 final class SoakClient {
@@ -26,12 +27,20 @@
      * What part of the clients does what, in a thousand; all others ask, wait and take the answer.
      *
      * @param pieceMs the pause between two pieces of a request that is written in pieces
+     * @param large have a large body, a large answer or both
+     * @param comeAgain of those that leave, send the same id once more on a new connection
      */
     record Habits(int leave, int pieces, int hurried, int halfThenStay, int pipelined, int freshConnection,
-            int pieceMs) {
+            int pieceMs, int large, int comeAgain) {
+
+        Habits(int leave, int pieces, int hurried, int halfThenStay, int pipelined, int freshConnection,
+                int pieceMs) {
+            this(leave, pieces, hurried, halfThenStay, pipelined, freshConnection, pieceMs, 0, 0);
+        }
 
         static final Habits PLAIN = new Habits(0, 0, 0, 0, 0, 400, 15);
         static final Habits MIXED = new Habits(80, 40, 50, 15, 30, 300, 15);
+        static final Habits LARGE = new Habits(80, 40, 50, 15, 30, 300, 15, 80, 500);
     }
 
     private static final long LEAST_BUDGET_MS = 8;
@@ -40,6 +49,11 @@
     private static final int PIECES = 6;
     /** A peer that asks nothing proper is owed an error or a close by then. */
     private static final long BAD_PEER_US = 3_000_000;
+    private static final int MOST_AWAY_MS = 40;
+    private static final int LEAST_ANSWER_BYTES = 20_000;
+    private static final int MOST_ANSWER_BYTES = 400_000;
+    private static final int MOST_ANSWER_PARTS = 6;
+    private static final long SIZES_SALT = 0x1A26E;
     private static final int THOUSAND = 1000;
     private static final int KEYED_SHARE = 250;
     private static final int UNSAFE_SHARE = 250;
@@ -49,6 +63,8 @@
     private final EventLoop loop;
     private final History history;
     private final SplittableRandom random;
+    /** Draws what is large, apart from {@link #random}: runs without large bodies stay as they were. */
+    private final SplittableRandom sizes;
     private final Habits habits;
     /** The time that clients give a request as a rule. */
     private final long usualBudgetMs;
@@ -67,6 +83,7 @@
         this.loop = loop;
         this.history = history;
         this.random = new SplittableRandom(seed);
+        this.sizes = new SplittableRandom(seed ^ SIZES_SALT);
         this.habits = habits;
     }
 
@@ -130,6 +147,10 @@
 
     /** Opens a connection; {@code again} is a request to be sent once more, or null for a new one. */
     private void connect(History.Request again) {
+        openConnection(connection -> connection.ask(again));
+    }
+
+    private void openConnection(Consumer<Connection> whenOpen) {
         if (!connects) {
             return;
         }
@@ -145,7 +166,7 @@
                     if (connected.isSuccess()) {
                         fresh.channel = connected.channel();
                         fresh.openedUs = history.nowUs();
-                        fresh.ask(again);
+                        whenOpen.accept(fresh);
                     }
                 });
     }
@@ -169,6 +190,10 @@
             boolean hurried = again == null && (habit -= habits.hurried) < 0 && habit >= -habits.hurried;
             long budgetMs = hurried ? random.nextLong(LEAST_BUDGET_MS, MOST_HURRIED_MS) : usualBudgetMs;
             History.Request request = begin(again, budgetMs);
+            if (!hurried && habits.large > 0 && sizes.nextInt(THOUSAND) < habits.large) {
+                askLarge(request);
+                return;
+            }
             String text = text(request);
             if (!hurried && (habit -= habits.pieces) < 0 && habit >= -habits.pieces) {
                 pieces(request, text, 0);
@@ -183,6 +208,21 @@
             }
         }
 
+        /** Sends the request of a connection that its client has left, with the same id. */
+        private void sendAgain(History.Request left) {
+            if (stopped) {
+                channel.close();
+                return;
+            }
+            History.Request again = left.again(history.nowUs());
+            history.sentAgain.add(left);
+            history.requests.put(again.id, again);
+            used = true;
+            open.add(again);
+            again.sentUs = history.nowUs();
+            write(text(again));
+        }
+
         private History.Request begin(History.Request again, long budgetMs) {
             int kind = random.nextInt(THOUSAND);
             History.Effect effect = again != null ? again.effect
@@ -196,18 +236,35 @@
             return request;
         }
 
+        /** Sends a request with a large body, or one that may have none and wants a large answer. */
+        private void askLarge(History.Request request) {
+            String query = sizes.nextBoolean() ? "" : "?answer="
+                    + sizes.nextInt(LEAST_ANSWER_BYTES, MOST_ANSWER_BYTES) + "&parts="
+                    + sizes.nextInt(1, MOST_ANSWER_PARTS);
+            if (request.effect == History.Effect.SAFE) {
+                send(request, head(request, query, ""));
+                return;
+            }
+            SoakUpload upload = new SoakUpload(channel, loop, history, request, sizes);
+            upload.start(head(request, query, upload.framing() + "\r\n"));
+        }
+
         private String text(History.Request request) {
+            return request.effect == History.Effect.SAFE ? head(request, "", "")
+                    : head(request, "", "Content-Length: 5\r\n") + "hello";
+        }
+
+        private static String head(History.Request request, String query, String framing) {
             String name = switch (request.effect) {
                 case SAFE -> "look";
                 case KEYED -> "pay";
                 case UNSAFE -> "act";
             };
-            boolean get = request.effect == History.Effect.SAFE;
-            return (get ? "GET" : "POST") + " /" + name + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + request.id
+            String method = request.effect == History.Effect.SAFE ? "GET" : "POST";
+            String key = request.effect == History.Effect.KEYED ? "Idempotency-Key: k" + request.id + "\r\n" : "";
+            return method + " /" + name + query + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + request.id
                     + "\r\nX-Call-Class: " + name + "\r\nX-Budget-Ms: " + request.budgetUs / 1000 + "\r\n"
-                    + (request.effect == History.Effect.KEYED
-                            ? "Idempotency-Key: k" + request.id + "\r\n" : "")
-                    + (get ? "\r\n" : "Content-Length: 5\r\n\r\nhello");
+                    + key + framing + "\r\n";
         }
 
         private void send(History.Request request, String text) {
@@ -247,6 +304,11 @@
                 long now = history.nowUs();
                 open.forEach(request -> request.clientLeftUs = now);
                 channel.close();
+                if (habits.comeAgain > 0 && sizes.nextInt(THOUSAND) < habits.comeAgain) {
+                    History.Request left = open.peek();
+                    loop.schedule(() -> openConnection(connection -> connection.sendAgain(left)),
+                            sizes.nextInt(MOST_AWAY_MS), TimeUnit.MILLISECONDS);
+                }
             }
         }
 
--- a/src/test/java/larkworks/soak/SoakServer.java
+++ b/src/test/java/larkworks/soak/SoakServer.java
@@ -18,6 +18,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** A server of the soak. It answers after some milliseconds, or misbehaves while it is told to. */
 final class SoakServer {
@@ -33,6 +35,10 @@
     private static final int SLOW_MS = 400;
     private static final int SECOND_ANSWER_MS = 12;
 
+    private static final int PART_GAP_MS = 12;
+    /** What a client that wants a large answer puts into the query. */
+    private static final Pattern LARGE_ANSWER = Pattern.compile("answer=(\\d+)&parts=(\\d+)");
+
     final String name;
     private final EventLoop loop;
     private final History history;
@@ -152,7 +158,7 @@
             }
             inFlight++;
             int afterMs = now == Fault.SLOW ? SLOW_MS : random.nextInt(LEAST_MS, MOST_MS);
-            loop.schedule(() -> answer(request, now), afterMs, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> answer(request, now, message.second()), afterMs, TimeUnit.MILLISECONDS);
         }
 
         private void probe() {
@@ -161,9 +167,12 @@
             }
         }
 
-        private void answer(History.Request request, Fault now) {
+        private void answer(History.Request request, Fault now, String target) {
             inFlight--;
-            String body = "made for " + request.id + " by " + name + ", " + answers++;
+            Matcher large = LARGE_ANSWER.matcher(target);
+            boolean isLarge = large.find();
+            String body = "made for " + request.id + " by " + name + ", " + answers++
+                    + (isLarge ? " ".repeat(Integer.parseInt(large.group(1))) : "");
             switch (now) {
                 case HANG -> { }
                 case RESET_BEFORE_ANSWER -> reset(channel);
@@ -197,11 +206,30 @@
                 }
                 default -> {
                     request.bodies.add(body);
-                    write("200 X", body, "");
+                    int parts = isLarge ? Integer.parseInt(large.group(2)) : 1;
+                    if (parts == 1) {
+                        write("200 X", body, "");
+                    } else {
+                        write(Unpooled.copiedBuffer("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                StandardCharsets.ISO_8859_1));
+                        writeParts(body, 0, parts);
+                    }
                 }
             }
         }
 
+        /** Writes the rest of a chunked answer, from that part on, with a pause between two parts. */
+        private void writeParts(String body, int part, int parts) {
+            String chunk = body.substring((int) ((long) body.length() * part / parts),
+                    (int) ((long) body.length() * (part + 1) / parts));
+            boolean last = part + 1 == parts;
+            write(Unpooled.copiedBuffer(Integer.toHexString(chunk.length()) + "\r\n" + chunk + "\r\n"
+                    + (last ? "0\r\n\r\n" : ""), StandardCharsets.ISO_8859_1));
+            if (!last) {
+                loop.schedule(() -> writeParts(body, part + 1, parts), PART_GAP_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
         private void write(String status, String body, String headers) {
             write(Unpooled.copiedBuffer("HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: "
                     + body.length() + "\r\n\r\n" + body, StandardCharsets.ISO_8859_1));
--- a/src/test/java/larkworks/soak/SoakSettings.java
+++ b/src/test/java/larkworks/soak/SoakSettings.java
@@ -80,6 +80,12 @@
                 troubles, copies, us, manner);
     }
 
+    /** The same with clients that behave otherwise. */
+    SoakSettings withHabits(SoakClient.Habits others) {
+        return new SoakSettings(seed, proxies, servers, seconds, perSecond, others, pushed, probePrice,
+                troubles, copies, deadlineUs, manner);
+    }
+
     /** The same with a discovery that tells its lists in another manner. */
     SoakSettings withDiscovery(SoakDiscovery.Manner other) {
         return new SoakSettings(seed, proxies, servers, seconds, perSecond, habits, pushed, probePrice,
--- a/src/test/java/larkworks/soak/SoakTest.java
+++ b/src/test/java/larkworks/soak/SoakTest.java
@@ -26,7 +26,16 @@
     @ParameterizedTest
     @CsvSource({"2,6", "3,6", "4,480", "5,3200"})
     void keepsEveryRuleUnderTroublesThatOverlap(long seed, int servers) throws Exception {
-        SoakSettings settings = Soak.drawn(seed, PROXIES, servers, SECONDS, TROUBLES);
+        play(Soak.drawn(seed, PROXIES, servers, SECONDS, TROUBLES));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"6,6", "7,6"})
+    void keepsEveryRuleWithLargeBodiesAndIdsThatComeAgain(long seed, int servers) throws Exception {
+        play(Soak.drawn(seed, PROXIES, servers, SECONDS, TROUBLES).withHabits(SoakClient.Habits.LARGE));
+    }
+
+    private void play(SoakSettings settings) throws Exception {
         try (Soak soak = new Soak(settings, folder)) {
             Soak.Result result = soak.run();
             assertEquals(List.of(), result.broken(), result.toString());
