--- a/src/test/java/larkworks/proxy/StalledUploadTest.java
+++ b/src/test/java/larkworks/proxy/StalledUploadTest.java
@@ -59,7 +59,8 @@
         ScriptedServer.Script script = exchange -> exchange.in().skip(BODY_BYTES);
         try (ScriptedServer server = new ScriptedServer(script); TestBench bench = start(server)) {
             TestBench.Client client = bench.client();
-            client.send(chunked ? head("Transfer-Encoding: chunked") + Integer.toHexString(BODY_BYTES) + "\r\n"
+            client.send(chunked
+                    ? head("Transfer-Encoding: chunked") + Integer.toHexString(BODY_BYTES) + "\r\n"
                     : head("Content-Length: " + BODY_BYTES));
             client.send("x".repeat(sentBytes));
             long sentNs = System.nanoTime();
--- a/src/test/java/larkworks/proxy/StartedRequestsTest.java
+++ b/src/test/java/larkworks/proxy/StartedRequestsTest.java
@@ -61,7 +61,8 @@
         StartedRequests started = StartedRequests.inMemory();
         long microsecondNs = TimeUnit.MICROSECONDS.toNanos(1);
         for (int i = 0; i < 1_000_000; i++) {
-            assertTrue(started.add("id-" + i, START_NS + i * microsecondNs), "an id was mistaken for another");
+            assertTrue(started.add("id-" + i, START_NS + i * microsecondNs),
+                    "an id was mistaken for another");
         }
         long endNs = START_NS + 1_000_000 * microsecondNs;
         assertTrue(IntStream.range(998_000, 1_000_000)
--- a/src/test/java/larkworks/soak/SoakClient.java
+++ b/src/test/java/larkworks/soak/SoakClient.java
@@ -261,7 +261,8 @@
                 case UNSAFE -> "act";
             };
             String method = request.effect == History.Effect.SAFE ? "GET" : "POST";
-            String key = request.effect == History.Effect.KEYED ? "Idempotency-Key: k" + request.id + "\r\n" : "";
+            String key = request.effect == History.Effect.KEYED
+                    ? "Idempotency-Key: k" + request.id + "\r\n" : "";
             return method + " /" + name + query + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + request.id
                     + "\r\nX-Call-Class: " + name + "\r\nX-Budget-Ms: " + request.budgetUs / 1000 + "\r\n"
                     + key + framing + "\r\n";
