Keep within the least memory: answers in a common budget, a smaller heap

Operators saw: a process with the least memory and 1,024 descriptors passed its limit and was killed.

Causes: answers of up to 64 KiB that wait for their end were counted nowhere (28 MB live after a full collection), bytes sent ahead were counted by their number where their buffers are up to twice as large (26 MB), so the heap grew to its 40 MB.

Answers that are buffered have a budget of 4 MB together; beyond it they are passed on as they arrive, as larger ones are. Buffers of bytes sent ahead are counted by their capacity.

RequestDecoderTest wanted at most 74,000 bytes counted, when the bytes themselves were counted. It now wants that of the bytes kept, and of what is counted that it is no less than those and at most twice the limit.

--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -2,8 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelHandlerContext;
@@ -74,10 +72,14 @@
     private static final HttpHeadersFactory HEADERS =
             ResponseDecoder.keeping(HttpHeaderNames.CONTENT_TYPE, "X-Rejected", "X-Load-Report");
 
+    /** Memory limit for the answers that are being buffered, of all connections together. */
+    private static final int MAX_BUFFERED_ANSWERS_BYTES = 4 << 20;
+
     private final Bootstrap bootstrap;
     private final EventLoop loop;
     private final Sockets sockets;
     private final long idleTimeoutUs;
+    private final MemoryBudget bufferedAnswers = new MemoryBudget(MAX_BUFFERED_ANSWERS_BYTES);
     /** The idle connections to each backend, the most recently used last. */
     private final Map<InetSocketAddress, ArrayDeque<Connection>> idleByAddress = new HashMap<>();
     /** All idle connections, the longest idle first. */
@@ -443,54 +445,6 @@
         }
     }
 
-    /** An answer that is being received. */
-    private static final class IncomingAnswer {
-        final HttpResponse head;
-        /** The declared length of the body in bytes; negative if not declared. */
-        final long length;
-        /** The body received so far; empty once the answer has a sink. */
-        ByteBuf buffered = Unpooled.buffer(256);
-        /** The number of bytes received of a body that is discarded because the status is not 200. */
-        long discardedBytes;
-        AnswerSink sink;
-        Future<?> bufferingTimer;
-
-        IncomingAnswer(HttpResponse head) {
-            this.head = head;
-            this.length = HttpFraming.bodyLength(head);
-        }
-
-        boolean hasStatusOk() {
-            return head.status().code() == 200;
-        }
-
-        String contentType() {
-            return head.headers().get(HttpHeaderNames.CONTENT_TYPE);
-        }
-
-        AttemptResult answer() {
-            HttpResponseStatus status = head.status();
-            LoadReport load = parseLoadReport(head.headers().get("X-Load-Report"));
-            if (hasStatusOk()) {
-                return new AttemptResult(Outcome.OK, sink == null ? ByteBufUtil.getBytes(buffered) : null,
-                        contentType(), load, false);
-            }
-            // Only this header proves that the request never ran; otherwise it may have taken effect.
-            boolean rejected = (status.code() == 503 || status.code() == 504)
-                    && "1".equals(head.headers().get("X-Rejected"));
-            return new AttemptResult(rejected ? Outcome.FULL : Outcome.ERROR, null, null, load,
-                    status.equals(HttpResponseStatus.BAD_REQUEST));
-        }
-
-        /** Releases the buffered body and cancels the timer that limits how long it is buffered. */
-        void release() {
-            buffered.release();
-            if (bufferingTimer != null) {
-                bufferingTimer.cancel(false);
-            }
-        }
-    }
-
     /** A connection to a backend, which carries at most one exchange at a time. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final InetSocketAddress address;
@@ -558,7 +512,7 @@
             if (inInterimAnswer) {
                 return;
             }
-            IncomingAnswer received = new IncomingAnswer(head);
+            IncomingAnswer received = new IncomingAnswer(head, bufferedAnswers);
             if (received.hasStatusOk() && received.length > MAX_BODY_BYTES) {
                 received.release();
                 reject();
@@ -590,8 +544,9 @@
             } else if (incoming.sink != null) {
                 forward(content.content().retain());
             } else if (size > 0) {
-                incoming.buffered.writeBytes(content.content());
-                if (incoming.buffered.readableBytes() > MAX_BUFFERED_BODY_BYTES) {
+                boolean hasRoom = bufferedAnswers.fits(size);
+                incoming.buffer(content.content());
+                if (!hasRoom || incoming.bufferedBytes() > MAX_BUFFERED_BODY_BYTES) {
                     startForwarding();
                 } else if (incoming.length < 0 && incoming.bufferingTimer == null
                         && currentExchange.receiver.maxBufferingUs() >= 0) {
@@ -606,7 +561,7 @@
 
         /** Handles the end of an answer's body. */
         private void completeAnswer() {
-            answer = incoming.answer();
+            answer = incoming.result();
             if (incoming.sink != null) {
                 incoming.sink.complete();
             }
@@ -635,9 +590,7 @@
                 discardIncoming();
                 return;
             }
-            ByteBuf bufferedBody = incoming.buffered;
-            incoming.buffered = Unpooled.EMPTY_BUFFER;
-            forward(bufferedBody);
+            forward(incoming.takeBuffered());
         }
 
         private void forward(ByteBuf content) {
--- a/src/main/java/larkworks/proxy/RequestDecoder.java
+++ b/src/main/java/larkworks/proxy/RequestDecoder.java
@@ -89,7 +89,7 @@
         super.channelRead(channelContext, bytes);
         countBytes();
         if (!dropped && !context.isRemoved() && !takesMessages.getAsBoolean()
-                && (countedBytes > MAX_AHEAD_BYTES || !budget.fits(0))) {
+                && (undecodedBytes() > MAX_AHEAD_BYTES || !budget.fits(0))) {
             // Further bytes are read and dropped undecoded.
             dropped = true;
             channelContext.pipeline().addBefore(channelContext.name(), null,
@@ -117,10 +117,12 @@
         return arrivals.isEmpty() ? arrivalClockUs.getAsLong() : arrivals.peek().arrivalUs;
     }
 
+    /** Counts the memory that undecoded bytes take: their buffer may be twice as large as they are. */
     private void countBytes() {
-        int undecodedBytes = context.isRemoved() || !context.channel().isOpen() ? 0 : undecodedBytes();
-        budget.add(undecodedBytes - countedBytes);
-        countedBytes = undecodedBytes;
+        boolean holdsBytes = !context.isRemoved() && context.channel().isOpen() && undecodedBytes() > 0;
+        int heldBytes = holdsBytes ? internalBuffer().capacity() : 0;
+        budget.add(heldBytes - countedBytes);
+        countedBytes = heldBytes;
     }
 
     @Override
--- a/src/main/java/larkworks/scale/PathScenario.java
+++ b/src/main/java/larkworks/scale/PathScenario.java
@@ -19,7 +19,7 @@
 
     /** As {@code run} of {@code deploy/balancer.toml}, but for its archive of classes. */
     private static final String RUN = "-XX:TieredStopAtLevel=1 -XX:+UseSerialGC -XX:-UsePerfData -Xms20m "
-            + "-Xmx40m "
+            + "-Xmx32m "
             + "-XX:MaxDirectMemorySize=16m -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=16m -Xss256k "
             + "-Dio.netty.eventLoopThreads=1 -Dio.netty.allocator.type=unpooled";
 
--- a/src/test/java/larkworks/proxy/DeployedProxy.java
+++ b/src/test/java/larkworks/proxy/DeployedProxy.java
@@ -18,6 +18,8 @@
 /** A proxy process with the deployed heap, and scripted servers behind it. */
 final class DeployedProxy implements AutoCloseable {
 
+    /** The least memory of a deployment, 32 MB, and what a JVM may be told on top. */
+    private static final long LEAST_MEMORY_KB = (32 + 64) << 10;
     private static final int SERVERS = 8;
     private static final int SERVER_BUFFER_BYTES = 1 << 13;
     private static final int CLIENT_BUFFER_BYTES = 1 << 13;
@@ -120,11 +122,16 @@
         return late;
     }
 
-    /** Checks that the process lives, has logged no error, and that no probe was answered late. */
+    /**
+     * Checks that the process lives within the least memory, has logged no error, and that no probe was
+     * answered late.
+     */
     void assertUnharmed(List<String> lateProbes) throws IOException {
         List<String> errors = errorsLogged();
         assertTrue(process.isAlive(), "the process ended; " + errors);
-        System.out.println("peak of resident memory: " + peakKb() + " kB");
+        long peakKb = peakKb();
+        System.out.println("peak of resident memory: " + peakKb + " kB");
+        assertTrue(peakKb <= LEAST_MEMORY_KB, "the process held " + peakKb + " kB");
         assertEquals(List.of(), errors);
         assertEquals(List.of(), lateProbes);
     }
--- a/src/test/java/larkworks/proxy/MemoryPressureTest.java
+++ b/src/test/java/larkworks/proxy/MemoryPressureTest.java
@@ -52,10 +52,7 @@
 
     @Test
     void survivesHeadsOfManyShortFieldsThatStop() throws Exception {
-        survives(CLIENTS, (socket, id) -> {
-            write(socket, "GET /look HTTP/1.1\r\n" + SHORT_FIELD.repeat(SHORT_FIELDS));
-            readToEnd(socket);
-        }, MemoryPressureTest::answerAtOnce);
+        survives(CLIENTS, MemoryPressureTest::stopWithinHead, MemoryPressureTest::answerAtOnce);
     }
 
     @Test
@@ -68,36 +65,17 @@
 
     @Test
     void survivesUploadsInSmallChunks() throws Exception {
-        survives(CLIENTS, (socket, id) -> {
-            write(socket, request("POST", "act", id, "Transfer-Encoding: chunked\r\n"));
-            for (int i = 0; i < 20; i++) {
-                write(socket, SMALL_CHUNK.repeat(1_500));
-            }
-            write(socket, "0\r\n\r\n");
-            readToEnd(socket);
-        }, MemoryPressureTest::readSlowly);
+        survives(CLIENTS, MemoryPressureTest::uploadSmallChunks, MemoryPressureTest::readSlowly);
     }
 
     @Test
     void survivesAnswersInSmallChunksReadSlowly() throws Exception {
-        survives(CLIENTS, (socket, id) -> {
-            write(socket, request("GET", "look", id, ""));
-            readSlowlyToEnd(socket);
-        }, exchange -> {
-            exchange.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-            for (int i = 0; i < 40; i++) {
-                exchange.send(SMALL_CHUNK.repeat(1_500));
-            }
-            exchange.send("0\r\n\r\n");
-        });
+        survives(CLIENTS, this::readAnswerSlowly, MemoryPressureTest::answerInSmallChunks);
     }
 
     @Test
     void survivesLongAnswersReadSlowly() throws Exception {
-        survives(CLIENTS, (socket, id) -> {
-            write(socket, request("GET", "look", id, ""));
-            readSlowlyToEnd(socket);
-        }, exchange -> {
+        survives(CLIENTS, this::readAnswerSlowly, exchange -> {
             exchange.send("HTTP/1.1 200 OK\r\nContent-Length: 4000000\r\n\r\n");
             exchange.send("x".repeat(4_000_000));
         });
@@ -105,13 +83,7 @@
 
     @Test
     void survivesHeadsSentAhead() throws Exception {
-        survives(CLIENTS, (socket, id) -> {
-            write(socket, request("GET", "look", id, ""));
-            for (int i = 0; i < 60; i++) {
-                write(socket, request("GET", "look", id + "-" + i, SHORT_FIELD.repeat(SHORT_FIELDS)));
-            }
-            readToEnd(socket);
-        }, MemoryPressureTest::answerLate);
+        survives(CLIENTS, MemoryPressureTest::sendHeadsAhead, MemoryPressureTest::answerLate);
     }
 
     @Test
@@ -129,11 +101,7 @@
 
     @Test
     void survivesBodiesThatStop() throws Exception {
-        survives(CLIENTS, (socket, id) -> {
-            write(socket, request("POST", "act", id, "Content-Length: 65000\r\n"));
-            write(socket, "x".repeat(60_000));
-            readToEnd(socket);
-        }, MemoryPressureTest::readSlowly);
+        survives(CLIENTS, MemoryPressureTest::stopWithinBody, MemoryPressureTest::readSlowly);
     }
 
     @Test
@@ -147,14 +115,26 @@
 
     @Test
     void survivesAnswersThatWaitForTheirEnd() throws Exception {
-        survives(CLIENTS, (socket, id) -> {
-            write(socket, request("GET", "look", id, ""));
-            readToEnd(socket);
-        }, exchange -> {
-            exchange.send("HTTP/1.1 200 OK\r\nContent-Length: 65000\r\n\r\n" + "x".repeat(64_000));
-            Thread.sleep(2_500);
-            exchange.send("x".repeat(1_000));
-        });
+        survives(CLIENTS, MemoryPressureTest::readAnswer, MemoryPressureTest::endAnswerLate);
+    }
+
+    /** The kinds of pressure that each hold much memory, at once. */
+    @Test
+    void survivesAllKindsAtOnce() throws Exception {
+        List<ClientScript> clients = List.of(MemoryPressureTest::stopWithinHead,
+                MemoryPressureTest::uploadSmallChunks, MemoryPressureTest::sendHeadsAhead,
+                MemoryPressureTest::stopWithinBody, MemoryPressureTest::readAnswer, this::readAnswerSlowly);
+        AtomicInteger nextClient = new AtomicInteger();
+        survives(CLIENTS, (socket, id) -> clients.get(nextClient.getAndIncrement() % clients.size())
+                .run(socket, id), exchange -> {
+                    if (exchange.head().startsWith("POST")) {
+                        readSlowly(exchange);
+                    } else if (exchange.header("X-Call-Id").hashCode() % 2 == 0) {
+                        endAnswerLate(exchange);
+                    } else {
+                        answerInSmallChunks(exchange);
+                    }
+                });
     }
 
     @Test
@@ -172,6 +152,59 @@
         survives(RESTING_CLIENTS, (socket, id) -> readToEnd(socket), MemoryPressureTest::answerAtOnce);
     }
 
+    private static void stopWithinHead(Socket socket, String id) throws IOException {
+        write(socket, "GET /look HTTP/1.1\r\n" + SHORT_FIELD.repeat(SHORT_FIELDS));
+        readToEnd(socket);
+    }
+
+    private static void stopWithinBody(Socket socket, String id) throws IOException {
+        write(socket, request("POST", "act", id, "Content-Length: 65000\r\n"));
+        write(socket, "x".repeat(60_000));
+        readToEnd(socket);
+    }
+
+    private static void uploadSmallChunks(Socket socket, String id) throws IOException {
+        write(socket, request("POST", "act", id, "Transfer-Encoding: chunked\r\n"));
+        for (int i = 0; i < 20; i++) {
+            write(socket, SMALL_CHUNK.repeat(1_500));
+        }
+        write(socket, "0\r\n\r\n");
+        readToEnd(socket);
+    }
+
+    private static void sendHeadsAhead(Socket socket, String id) throws IOException {
+        write(socket, request("GET", "look", id, ""));
+        for (int i = 0; i < 60; i++) {
+            write(socket, request("GET", "look", id + "-" + i, SHORT_FIELD.repeat(SHORT_FIELDS)));
+        }
+        readToEnd(socket);
+    }
+
+    private static void readAnswer(Socket socket, String id) throws IOException {
+        write(socket, request("GET", "look", id, ""));
+        readToEnd(socket);
+    }
+
+    private void readAnswerSlowly(Socket socket, String id) throws IOException, InterruptedException {
+        write(socket, request("GET", "look", id, ""));
+        readSlowlyToEnd(socket);
+    }
+
+    private static void answerInSmallChunks(ScriptedServer.Exchange exchange) throws IOException {
+        exchange.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int i = 0; i < 40; i++) {
+            exchange.send(SMALL_CHUNK.repeat(1_500));
+        }
+        exchange.send("0\r\n\r\n");
+    }
+
+    private static void endAnswerLate(ScriptedServer.Exchange exchange)
+            throws IOException, InterruptedException {
+        exchange.send("HTTP/1.1 200 OK\r\nContent-Length: 65000\r\n\r\n" + "x".repeat(64_000));
+        Thread.sleep(2_500);
+        exchange.send("x".repeat(1_000));
+    }
+
     private static void answerAtOnce(ScriptedServer.Exchange exchange) throws IOException {
         exchange.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
     }
--- a/src/test/java/larkworks/proxy/RequestDecoderTest.java
+++ b/src/test/java/larkworks/proxy/RequestDecoderTest.java
@@ -78,7 +78,9 @@
             receive("x".repeat(10_000));
         }
         assertTrue(decoder.hasDropped());
-        assertTrue(budget.usedBytes() <= 74_000, "bytes kept: " + budget.usedBytes());
+        assertTrue(decoder.undecodedBytes() <= 74_000, "bytes kept: " + decoder.undecodedBytes());
+        assertTrue(budget.usedBytes() >= decoder.undecodedBytes() && budget.usedBytes() <= 2 * 74_000,
+                "bytes counted: " + budget.usedBytes());
     }
 
     @Test
