Say what buffers and budgets hold since answers share one; test the soak's oracle

CheckerTest has the two checks that came with large bodies and ids that come again; StalledUploadTest's server reads by skipNBytes, as skip may read less.

No code of the program changes.

--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -48,7 +48,10 @@
 final class BackendPool {
 
     private static final Logger LOG = LoggerFactory.getLogger("proxy");
-    /** A body up to this size is buffered as a whole; a larger one is forwarded as it arrives. */
+    /**
+     * A body up to this size is buffered as a whole, if there is memory for it; a larger one is forwarded as
+     * it arrives.
+     */
     static final int MAX_BUFFERED_BODY_BYTES = 64 << 10;
     /** The largest request or response body that the proxy forwards. */
     static final long MAX_BODY_BYTES = 32 << 20;
@@ -285,8 +288,8 @@
     interface Receiver {
 
         /**
-         * Called when an answer with status 200 proves too large to be buffered, before all of it has been
-         * received.
+         * Called when an answer with status 200 is not buffered any longer, before all of it has been
+         * received: it proves too large, its time for buffering is over, or memory is short.
          *
          * @param length the length of the body in bytes; negative if the backend did not declare it
          * @return the sink for the body; null if the answer is not needed any more
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -65,7 +65,7 @@
     private static final long BODY_GRACE_MS = 500;
     /**
      * Memory limit for all connections together: buffered small bodies, beginnings of bodies that may still
-     * turn out to be large, and bytes sent ahead.
+     * turn out to be large, and the buffers of bytes sent ahead.
      */
     private static final int MAX_BUFFERED_BYTES = 8 << 20;
     /** A transfer without progress for this long is cut off. */
@@ -127,7 +127,7 @@
     private Consumer<SystemError> onAcceptFailure = error -> { };
     /** Changed on the loop only; read by the metrics thread as well. */
     private volatile int openConnections;
-    /** The buffered bodies and the bytes sent ahead of all connections. */
+    /** The buffered bodies and the buffers of bytes sent ahead, of all connections. */
     private final MemoryBudget buffered = new MemoryBudget(MAX_BUFFERED_BYTES);
     /** Whether a call of {@link Connection#readNow} is running, on any connection; such calls don't nest. */
     private boolean readNowRunning;
@@ -238,7 +238,7 @@
         });
     }
 
-    /** Returns the size of the buffered bodies and the bytes sent ahead of all connections. */
+    /** Returns the size of the buffered bodies and the buffers of bytes sent ahead, of all connections. */
     int bufferedBytes() {
         return buffered.usedBytes();
     }
--- a/src/main/java/larkworks/proxy/MemoryBudget.java
+++ b/src/main/java/larkworks/proxy/MemoryBudget.java
@@ -19,7 +19,7 @@
         return usedBytes + bytes <= limitBytes;
     }
 
-    /** Counts bytes that are held from now on; the caller has checked {@link #fits}. */
+    /** Counts bytes that are held from now on, also beyond the limit: callers check {@link #fits} first. */
     void add(int bytes) {
         usedBytes += bytes;
     }
--- a/src/main/java/larkworks/proxy/RequestDecoder.java
+++ b/src/main/java/larkworks/proxy/RequestDecoder.java
@@ -63,7 +63,7 @@
      *
      * @param takesMessages whether the connection takes another message now
      * @param arrivalClockUs returns when bytes that are read now arrived
-     * @param budget counts the bytes that are kept undecoded
+     * @param budget counts the memory of the bytes that are kept undecoded
      */
     RequestDecoder(BooleanSupplier takesMessages, LongSupplier arrivalClockUs, MemoryBudget budget) {
         super(new HttpDecoderConfig().setMaxChunkSize(MAX_PART_BYTES).setHeadersFactory(HEADERS)
--- a/src/main/java/larkworks/proxy/StartedRequests.java
+++ b/src/main/java/larkworks/proxy/StartedRequests.java
@@ -16,9 +16,10 @@
  * comes again belongs to the same request, which a client sends once more if its connection has ended.
  *
  * <p>The processes of a proxy share the table as a mapped file, so an id is also recognized by the process
- * that replaces the one that sent it, and after a restart. Times are by {@link System#nanoTime}, which all
- * processes of a machine share. An entry is a fingerprint of the id and its time in one word, written by
- * compare-and-set; each id has a bucket of entries, in which a new id replaces the oldest.
+ * that replaces the one that sent it, and after a restart that keeps the folder. Times are by
+ * {@link System#nanoTime}, which all processes of a machine share. An entry is a fingerprint of the id and
+ * its time in one word, written by compare-and-set; each id has a bucket of entries, in which a new id
+ * replaces the oldest.
  */
 final class StartedRequests {
 
@@ -33,7 +34,10 @@
     private static final long RETENTION_NS = TimeUnit.SECONDS.toNanos(30);
     /** Unit of the time in an entry. */
     private static final long TICK_NS = TimeUnit.MILLISECONDS.toNanos(16);
-    /** Number of an entry's bits that hold its time; the rest holds the fingerprint. */
+    /**
+     * Number of an entry's bits that hold its time, which wraps after some hours; the rest holds the
+     * fingerprint.
+     */
     private static final int TIME_BITS = 20;
     private static final long TIME_MASK = (1L << TIME_BITS) - 1;
     private static final long EMPTY = 0;
@@ -102,7 +106,7 @@
         }
     }
 
-    /** Copies the entries into another table that contains none of them. */
+    /** Copies the entries into another table, except those whose place is taken there. */
     void copyTo(StartedRequests other) {
         for (int offset = 0; offset < SIZE_BYTES; offset += Long.BYTES) {
             long copied = entry(offset);
--- a/src/test/java/larkworks/proxy/StalledUploadTest.java
+++ b/src/test/java/larkworks/proxy/StalledUploadTest.java
@@ -56,7 +56,7 @@
     @ParameterizedTest
     @CsvSource({"1000,false", "1000,true", "200000,false", "200000,true"})
     void endsTheConnectionOfAClientThatStopsWithinABody(int sentBytes, boolean chunked) throws Exception {
-        ScriptedServer.Script script = exchange -> exchange.in().skip(BODY_BYTES);
+        ScriptedServer.Script script = exchange -> exchange.in().skipNBytes(BODY_BYTES);
         try (ScriptedServer server = new ScriptedServer(script); TestBench bench = start(server)) {
             TestBench.Client client = bench.client();
             client.send(chunked
--- a/src/test/java/larkworks/soak/CheckerTest.java
+++ b/src/test/java/larkworks/soak/CheckerTest.java
@@ -77,6 +77,33 @@
         assertBroken("may have run 2 times");
     }
 
+    @Test
+    void anIdThatIsSentAgainAndMayRunTwiceIsSeen() {
+        Request left = sent(Effect.UNSAFE);
+        left.firstSentUs = 10 * S;
+        left.clientLeftUs = 10 * S + 20_000;
+        left.attempts.add(attempt(10 * S, 900));
+        Request again = left.again(10 * S + 30_000);
+        again.sentUs = 10 * S + 30_000;
+        history.sentAgain.add(left);
+        history.requests.put("r", again);
+        answer(again, 502, "", 10 * S + 50_000);
+        assertEquals(List.of(), new Checker(history, SETTINGS).check());
+        again.attempts.add(attempt(10 * S + 200_000, 800));
+        assertBroken("may have run 2 times");
+    }
+
+    @Test
+    void anUploadCutOffWithNoAnswerIsSeen() {
+        Request request = sent(Effect.UNSAFE);
+        request.large = true;
+        request.firstSentUs = 10 * S;
+        request.sentUs = History.NEVER;
+        assertEquals(List.of(), new Checker(history, SETTINGS).check());
+        request.cutOffUs = 11 * S;
+        assertBroken("its upload was cut off");
+    }
+
     @Test
     void aRefusalOfWhatMayHaveRunIsSeen() {
         Request request = sent(Effect.UNSAFE);
--- a/src/test/java/larkworks/soak/SoakClient.java
+++ b/src/test/java/larkworks/soak/SoakClient.java
@@ -27,7 +27,7 @@
      * What part of the clients does what, in a thousand; all others ask, wait and take the answer.
      *
      * @param pieceMs the pause between two pieces of a request that is written in pieces
-     * @param large have a large body, a large answer or both
+     * @param large have a large body, want a large answer or both; one that is safe to repeat may do neither
      * @param comeAgain of those that leave, send the same id once more on a new connection
      */
     record Habits(int leave, int pieces, int hurried, int halfThenStay, int pipelined, int freshConnection,
