--- a/review/standins-2/Backend.java
+++ b/review/standins-2/Backend.java
@@ -5,6 +5,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A backend that serves each request after some milliseconds, or turns each away as its queue is full. */
@@ -16,6 +18,8 @@
     final String name;
     final List<Taken> taken = new CopyOnWriteArrayList<>();
     volatile boolean full;
+    volatile boolean dead;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final Lab lab;
     private final ServerSocket listener;
 
@@ -26,6 +30,7 @@
         Lab.daemon(() -> {
             while (true) {
                 Socket socket = listener.accept();
+                sockets.add(socket);
                 Lab.daemon(() -> serve(socket));
             }
         });
@@ -35,6 +40,16 @@
         return Lab.HOST + ":" + listener.getLocalPort();
     }
 
+    /** As if its process had died: connections are reset, new ones refused. */
+    void die() throws IOException {
+        dead = true;
+        listener.close();
+        for (Socket socket : sockets) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+    }
+
     private void serve(Socket socket) throws IOException, InterruptedException {
         try (socket) {
             socket.setTcpNoDelay(true);
@@ -61,6 +76,8 @@
                             "answer to " + id + " by " + name));
                 }
             }
+        } finally {
+            sockets.remove(socket);
         }
     }
 
--- a/review/standins-2/Setup.java
+++ b/review/standins-2/Setup.java
@@ -15,6 +15,7 @@
     String way = "on_request";
     int maxAttempts = 3;
     boolean probes = true;
+    int sockets = 512;
     int deadlineMs = 820;
     int aimMs = 330;
     final List<String> entries = new ArrayList<>();
@@ -44,7 +45,7 @@
     /** Writes the configuration of a proxy. */
     void write(Path file, String name, String listen) throws IOException {
         Files.writeString(file, "{\"name\":\"" + name + "\",\"listen\":\"" + listen + "\",\"discovery\":" + discovery
-                + ",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":512}," + extra
+                + ",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + sockets + "}," + extra
                 + "\"known\":{\"index\":1,\"snapshot\":true,\"endpoints\":[" + String.join(",", entries) + "]},"
                 + "\"settings\":{\"balancers\":1,\"me\":0,\"locality\":0,\"dcs\":[\"hall-a\"],\"discovery\":\"" + way
                 + "\",\"resolutionUs\":1000,\"categories\":" + categories()
