--- a/review/standins-2/Case6.java
+++ b/review/standins-2/Case6.java
@@ -16,7 +16,7 @@
 
 /**
  * Backends that send some answers twice, the second one some milliseconds after the first and in small pieces. Each
- * 200 answer that a client gets has to be one that a backend made for that client's request.
+ * 200 answer that a client gets has to be one that a backend made for that client's request, and no alert may run twice.
  */
 public final class Case6 {
 
@@ -25,6 +25,8 @@
     private static final int RUN_MS = 60_000;
     /** One answer in so many is sent twice. */
     private static final int TWICE_IN = 10;
+    /** One request in so many finds a queue full and is turned away. */
+    private static final int FULL_IN = 5;
     private static final int SECOND_AFTER_MS = 8;
     private static final int PIECES = 5;
     private static final int PIECE_GAP_MS = 10;
@@ -32,6 +34,8 @@
     private final Lab lab;
     /** The bodies that backends made, by the id of the request. */
     private final Map<String, Set<String>> made = new ConcurrentHashMap<>();
+    /** Where each alert was run, by the id of the request. */
+    private final Map<String, List<String>> ran = new ConcurrentHashMap<>();
     private final AtomicInteger twice = new AtomicInteger();
     private final AtomicInteger ids = new AtomicInteger();
     private final AtomicInteger served = new AtomicInteger();
@@ -144,19 +148,29 @@
             for (Lab.Message call = Lab.read(in); call != null; call = Lab.read(in)) {
                 String id = call.header("X-Call-Id");
                 if (id.isEmpty()) {
-                    write(out, answer("inflight=0,queue=0,util=0.1"));
+                    out.write(answer("inflight=0,queue=0,util=0.1"));
                     continue;
                 }
-                Thread.sleep(random.nextInt(15, 40));
-                String body = "answer to " + id + " by " + name;
-                made.get(id).add(body);
+                byte[] answer;
+                if (random.nextInt(FULL_IN) == 0) {
+                    answer = Lab.bytes("HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Rejected: 1\r\n"
+                            + "X-Load-Report: inflight=1,queue=9,util=0.90\r\n\r\n");
+                } else {
+                    if (call.line().startsWith("POST")) {
+                        run(id, name);
+                    }
+                    Thread.sleep(random.nextInt(15, 40));
+                    String body = "answer to " + id + " by " + name;
+                    made.get(id).add(body);
+                    answer = answer(body);
+                }
                 synchronized (out) {
-                    write(out, answer(body));
+                    out.write(answer);
                 }
                 if (lab.trouble && random.nextInt(TWICE_IN) == 0) {
                     twice.incrementAndGet();
                     lab.say(name, "sends its answer to " + id + " a second time");
-                    Lab.daemon(() -> writeAgain(out, answer(body)));
+                    Lab.daemon(() -> writeAgain(out, answer));
                 }
             }
         }
@@ -175,8 +189,14 @@
         }
     }
 
-    private static void write(OutputStream out, byte[] answer) throws IOException {
-        out.write(answer);
+    private void run(String id, String name) {
+        List<String> places = ran.computeIfAbsent(id, any -> Collections.synchronizedList(new ArrayList<>()));
+        places.add(name);
+        if (places.size() > 1) {
+            String text = "alert " + id + " was run twice, at " + places;
+            lab.say(name, text);
+            broken.add(text);
+        }
     }
 
     private static byte[] answer(String body) {
