Review case 10: a token request that comes again takes effect in two zones

Cause: StartedRequests remembers of an id when it began, not where; within its window a token request that comes again may go to any backend, whatever its class's group is.

--- a/review/standins-2/Case10.java
+++ b/review/standins-2/Case10.java
@@ -1,121 +1,151 @@
+import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A release with staged admission, whose first new server dies on the ramp. A proxy rests it, which stops the admission:
- * nobody may follow until an operator resumes it, also when the dead server's lease has ended.
+ * Clients that leave before their answer and send the same request, with the same id, once more. The class may be
+ * repeated within one zone, whose backends discard repeats; so no request may take effect in two zones.
  */
 public final class Case10 {
 
-    private static final int OLD = 6;
-    private static final int NEW = 3;
-    private static final int TTL_MS = 10_000;
-    private static final int HEARTBEAT_MS = 2_000;
-    private static final int WATCHED_MS = 30_000;
-    private static final String INSTANCES = "/registry/v1/instances/";
+    private static final int ZONES = 2;
+    private static final int BACKENDS_A_ZONE = 2;
+    private static final int CLIENTS = 4;
+    private static final int RUN_MS = 30_000;
+    private static final int WORK_MS = 250;
+    private static final int LEAVES_AFTER_MS = 100;
 
-    private Case10() { }
+    private final Lab lab;
+    private final AtomicInteger ids = new AtomicInteger();
+    private final AtomicInteger left = new AtomicInteger();
+    private final AtomicInteger served = new AtomicInteger();
+    private final AtomicInteger other = new AtomicInteger();
+    /** The zones in which each request took effect. */
+    private final Map<String, Set<String>> effects = new ConcurrentHashMap<>();
+
+    private Case10(Lab lab) {
+        this.lab = lab;
+    }
 
     public static void main(String[] args) throws Exception {
-        Lab.main(args, Case10::run);
+        Lab.main(args, lab -> new Case10(lab).run());
     }
 
-    private static List<String> run(Lab lab) throws Exception {
-        String registry = Lab.HOST + ":" + lab.freePort();
-        lab.start("registry", Map.of(), "java", "-Xmx128m", "-jar", "target/larkworks.jar", "registry", "--listen", registry,
-                "--data", lab.temp.resolve("registry").toString(), "--max-new-share", "0.2");
-        lab.await("the list service answers", 30, () -> !status(registry).isEmpty());
+    private List<String> run() throws Exception {
         Setup setup = new Setup();
-        for (int i = 0; i < OLD; i++) {
-            Backend backend = new Backend(lab, "s-" + i);
-            setup.known(backend.name, backend.address());
-            register(lab, registry, backend, 0, 0);
+        for (int zone = 0; zone < ZONES; zone++) {
+            for (int i = 0; i < BACKENDS_A_ZONE; i++) {
+                String hall = "hall-" + (char) ('a' + zone);
+                String name = "s-" + (char) ('a' + zone) + i;
+                setup.entries.add(Setup.entry(name, startBackend(name, hall), "in_service", 0)
+                        .replace("hall-a", hall).replace("\"group\":1", "\"group\":" + (zone + 1)));
+            }
         }
-        setup.extra = "\"rollout\":{\"report_ms\":1000},";
-        setup.discovery = '"' + registry + '"';
+        ListStub list = new ListStub(setup.entries);
+        setup.discovery = '"' + list.address() + '"';
         String listen = Lab.HOST + ":" + lab.freePort();
         Path config = lab.temp.resolve("config.json");
         setup.write(config, "n1", listen);
-        Process proxy = lab.startProxy("n1", config, listen, registry, null);
+        Files.writeString(config, Files.readString(config).replace("\"dcs\":[\"hall-a\"]", "\"dcs\":[\"hall-a\",\"hall-b\"]")
+                .replace("\"effect\":\"side_effect\",\"group\":\"all\"", "\"effect\":\"token\",\"group\":\"zone\"")
+                .replace("\"dedupWindowUs\":0", "\"dedupWindowUs\":5000000"));
+        Process proxy = lab.startProxy("n1", config, listen, list.address(), null);
         lab.awaitReady(listen);
-        Load load = new Load(lab, listen, 12);
-        Thread.sleep(3_000);
-
-        Map<String, Backend> fresh = new LinkedHashMap<>();
-        for (int i = 0; i < NEW; i++) {
-            Backend backend = new Backend(lab, "new-" + i);
-            fresh.put(backend.name, backend);
-            register(lab, registry, backend, System.currentTimeMillis(), TTL_MS);
-            Lab.daemon(() -> {
-                while (!backend.dead) {
-                    Thread.sleep(HEARTBEAT_MS);
-                    if (!backend.dead) {
-                        Lab.call(registry, "PUT", INSTANCES + backend.name + "/heartbeat", "", 2_000);
-                    }
+        long endMs = lab.nowMs() + RUN_MS;
+        List<Thread> clients = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            clients.add(Lab.daemon(() -> {
+                while (lab.nowMs() < endMs) {
+                    client(listen);
                 }
-            });
-        }
-        Backend first = fresh.get("new-0");
-        lab.await("the first new server gets requests", 20, () -> !first.taken.isEmpty());
-        long stoppedMs = Long.MAX_VALUE;
-        if (lab.trouble) {
-            lab.say("script", first.name + " dies: connections are reset, new ones refused, no more heartbeats");
-            first.die();
-            lab.await("the admission has stopped", 20, () -> figure(registry, "stopped") > 0);
-            stoppedMs = lab.nowMs();
-            lab.say("registry", "the admission has stopped: " + status(registry));
+            }));
         }
-        String before = "";
-        for (long endMs = lab.nowMs() + WATCHED_MS; lab.nowMs() < endMs; Thread.sleep(200)) {
-            String now = status(registry).replaceAll(".*(\"instances\":[0-9]+).*(\"waiting\":[0-9]+,\"ramping\":[0-9]+,"
-                    + "\"stopped\":[0-9]+).*", "$1 $2");
-            if (!now.equals(before)) {
-                lab.say("registry", now);
-                before = now;
-            }
+        for (Thread client : clients) {
+            client.join();
         }
-        load.end();
+        Thread.sleep(1_000);
         List<String> broken = new ArrayList<>();
-        for (Backend backend : fresh.values()) {
-            long stop = stoppedMs;
-            List<Backend.Taken> after = backend.taken.stream().filter(taken -> taken.atMs() > stop).toList();
-            lab.say(backend.name, backend.taken.size() + " requests" + (lab.trouble ? ", of them " + after.size()
-                    + " after the stop" : ""));
-            if (backend != first && lab.trouble && !after.isEmpty()) {
-                broken.add(backend.name + " was admitted though the admission had stopped and nobody resumed it: "
-                        + after.size() + " requests, the first one " + (after.get(0).atMs() - stop) + " ms after the stop");
+        effects.forEach((id, zones) -> {
+            if (zones.size() > 1) {
+                broken.add("request " + id + " took effect in " + zones);
             }
-        }
-        lab.say("script", load.toString());
+        });
+        lab.say("script", "requests " + effects.size() + ", clients that left " + left + ", served " + served
+                + ", refused or failed " + other);
         if (!proxy.isAlive()) {
             throw new AssertionError("the proxy has ended");
         }
-        if (!lab.trouble && fresh.get("new-1").taken.isEmpty()) {
-            throw new AssertionError("the second new server was not admitted");
-        }
         return broken;
     }
 
-    private static void register(Lab lab, String registry, Backend backend, long sinceMs, int ttlMs) throws Exception {
-        Case9.call(lab, registry, "PUT", INSTANCES + backend.name, "{\"address\":\"" + backend.address()
-                + "\",\"zone\":\"hall-a\",\"type\":\"front-std\",\"group\":1,\"since_ms\":" + sinceMs + ",\"ttl_ms\":" + ttlMs
-                + "}");
-    }
-
-    private static String status(String registry) {
+    private void client(String listen) throws InterruptedException {
+        Thread.sleep(ThreadLocalRandom.current().nextInt(50, 250));
+        String id = String.format("%016x", 0x9b1f_0000_0000_0000L + ids.incrementAndGet());
+        String request = "POST /varsel-ny HTTP/1.1\r\nHost: origin.svc\r\nX-Call-Id: " + id
+                + "\r\nX-Call-Class: varsel-ny\r\nX-Budget-Ms: 820\r\nIdempotency-Key: k" + id
+                + "\r\nContent-Length: 5\r\n\r\nalert";
         try {
-            return Lab.call(registry, "GET", "/registry/v1/status", "", 1_000).text();
+            if (lab.trouble && ThreadLocalRandom.current().nextInt(4) == 0) {
+                try (Socket socket = new Socket()) {
+                    socket.connect(Lab.address(listen));
+                    socket.getOutputStream().write(Lab.bytes(request));
+                    Thread.sleep(LEAVES_AFTER_MS);
+                }
+                left.incrementAndGet();
+                lab.say("client", id + ": leaves before its answer, sends its request once more");
+                Thread.sleep(20);
+            }
+            try (Socket socket = new Socket()) {
+                socket.connect(Lab.address(listen));
+                socket.setSoTimeout(2_000);
+                socket.getOutputStream().write(Lab.bytes(request));
+                Lab.Message answer = Lab.read(new BufferedInputStream(socket.getInputStream()));
+                (answer != null && answer.status() == 200 ? served : other).incrementAndGet();
+            }
         } catch (IOException e) {
-            return "";
+            other.incrementAndGet();
         }
     }
 
-    private static int figure(String registry, String name) {
-        String text = status(registry);
-        return text.contains(name) ? Integer.parseInt(text.replaceAll(".*\"" + name + "\":([0-9]+).*", "$1")) : 0;
+    private String startBackend(String name, String zone) throws IOException {
+        ServerSocket listener = new ServerSocket(0, 256, InetAddress.getByName(Lab.HOST));
+        Lab.daemon(() -> {
+            while (true) {
+                Socket socket = listener.accept();
+                Lab.daemon(() -> serve(name, zone, socket));
+            }
+        });
+        return Lab.HOST + ":" + listener.getLocalPort();
+    }
+
+    private void serve(String name, String zone, Socket socket) throws IOException, InterruptedException {
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
+            OutputStream out = socket.getOutputStream();
+            for (Lab.Message call = Lab.read(in); call != null; call = Lab.read(in)) {
+                String id = call.header("X-Call-Id");
+                String body = id.isEmpty() ? "inflight=0,queue=0,util=0.1" : "done";
+                if (!id.isEmpty()) {
+                    boolean fresh = effects.computeIfAbsent(id, any -> ConcurrentHashMap.newKeySet()).add(zone);
+                    lab.say(name, id + (fresh ? " takes effect in " : " is a repeat in ") + zone);
+                    Thread.sleep(WORK_MS);
+                }
+                out.write(Lab.bytes("HTTP/1.1 200 OK\r\nContent-Length: " + body.length()
+                        + "\r\nX-Load-Report: inflight=0,queue=0,util=0.10\r\n\r\n" + body));
+            }
+        }
     }
 }
