--- a/review/standins-2/Backend.java
+++ b/review/standins-2/Backend.java
@@ -5,8 +5,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A backend that serves each request after some milliseconds, or turns each away as its queue is full. */
@@ -18,8 +16,6 @@
     final String name;
     final List<Taken> taken = new CopyOnWriteArrayList<>();
     volatile boolean full;
-    volatile boolean dead;
-    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final Lab lab;
     private final ServerSocket listener;
 
@@ -30,7 +26,6 @@
         Lab.daemon(() -> {
             while (true) {
                 Socket socket = listener.accept();
-                sockets.add(socket);
                 Lab.daemon(() -> serve(socket));
             }
         });
@@ -40,16 +35,6 @@
         return Lab.HOST + ":" + listener.getLocalPort();
     }
 
-    /** As if its process had died: connections are reset, new ones refused. */
-    void die() throws IOException {
-        dead = true;
-        listener.close();
-        for (Socket socket : sockets) {
-            socket.setSoLinger(true, 0);
-            socket.close();
-        }
-    }
-
     private void serve(Socket socket) throws IOException, InterruptedException {
         try (socket) {
             socket.setTcpNoDelay(true);
@@ -76,8 +61,6 @@
                             "answer to " + id + " by " + name));
                 }
             }
-        } finally {
-            sockets.remove(socket);
         }
     }
 
