Keep a connection whose answer is not written when descriptors run short

Cause: a connection counts as idle once its backend has given all of the answer. Connection.evict spared an unwritten answer only if the client had sent bytes within 2.5 s, and a client that reads a long answer sends none.

Connections without a valid request keep the old rule.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -458,15 +458,17 @@
             return channel.isActive();
         }
 
+        /** Returns whether bytes of an answer wait to be written to the client's socket. */
+        private boolean isWritingAnswer() {
+            return LingeringClose.unwrittenBytes(channel) > 0;
+        }
+
         /**
-         * Closes the connection at once, unless a complete request has arrived or an answer is still being
-         * written. An answer that is being written keeps it open only if bytes arrived from the client within
-         * the last {@link #REQUEST_TIMEOUT_MS}. Returns whether it was closed.
+         * Closes the connection at once, unless a request or an answer would be lost with it. Returns whether
+         * it was closed.
          */
         private boolean evict() {
-            boolean answered = LingeringClose.unwrittenBytes(channel) == 0
-                    || nowMs() - lastReceivedMs > REQUEST_TIMEOUT_MS;
-            if (!answered || !idleOrUnprovenConnections().remove(this)) {
+            if (hasOpenExchange() || !idleOrUnprovenConnections().remove(this)) {
                 return false;
             }
             releaseReserved();
@@ -475,13 +477,24 @@
             return true;
         }
 
+        /**
+         * Returns whether an answer is still being written. An unproven connection has errors and health
+         * checks to be answered only; those keep it open only while bytes arrive.
+         */
+        private boolean hasOpenExchange() {
+            if (!proven && nowMs() - lastReceivedMs > REQUEST_TIMEOUT_MS) {
+                return false;
+            }
+            return isWritingAnswer();
+        }
+
         /** Closes the connection unanswered, as no complete request head arrived before the timeout. */
         private void onRequestTimeout() {
             readNow();
             if (!idleOrUnprovenConnections().contains(this)) {
                 return;
             }
-            if (LingeringClose.unwrittenBytes(channel) > 0) {
+            if (isWritingAnswer()) {
                 writeLastAndClose(Unpooled.EMPTY_BUFFER, CloseReason.REQUEST_LATE);
             } else {
                 logClosed(CloseReason.REQUEST_LATE);
