Keep a connection whose requests sent ahead are not decoded yet

Callers that sent several requests at once could see the connection closed unanswered while descriptors ran short: a request that was read is lost.

Cause: between two requests sent ahead a connection waits in Frontend.resuming for its turn, and counts as idle meanwhile; evict closed it.

Change: evict keeps a connection that waits for its turn. After that turn all whole requests are decoded, so what is left is a part of one.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -478,14 +478,15 @@
         }
 
         /**
-         * Returns whether an answer is still being written. An unproven connection has errors and health
-         * checks to be answered only; those keep it open only while bytes arrive.
+         * Returns whether an answer is still being written, or received bytes may hold a request that is not
+         * decoded yet. An unproven connection has errors and health checks to be answered only; those keep it
+         * open only while bytes arrive.
          */
         private boolean hasOpenExchange() {
             if (!proven && nowMs() - lastReceivedMs > REQUEST_TIMEOUT_MS) {
                 return false;
             }
-            return isWritingAnswer();
+            return isWritingAnswer() || resumeScheduled;
         }
 
         /** Closes the connection unanswered, as no complete request head arrived before the timeout. */
--- a/src/test/java/larkworks/proxy/DescriptorShortageTest.java
+++ b/src/test/java/larkworks/proxy/DescriptorShortageTest.java
@@ -18,6 +18,8 @@
 class DescriptorShortageTest {
 
     private static final int DESCRIPTORS = 64;
+    /** With four descriptors for connections, few clients are enough to use them up. */
+    private static final int FEWEST_DESCRIPTORS = 8;
     private static final int LARGE_ANSWER_BYTES = 400_000;
     private static final int READ_BYTES = 4_000;
     /** A pause after each {@link #READ_BYTES}, which makes 64 kB a second. */
@@ -52,6 +54,26 @@
         assertEquals(LARGE_ANSWER_BYTES, readSlowly(slowClient));
     }
 
+    /** Guards against the close of a connection whose next requests were read, but not decoded yet. */
+    @Test
+    void answersRequestsThatWereSentAhead() throws Exception {
+        bench.maxSockets = FEWEST_DESCRIPTORS;
+        bench.start(folder);
+        TestBench.Client client = bench.client().sendLook("first");
+        StubServer.Message first = bench.backends.get(0).next();
+        client.sendLook("sent ahead");
+        bench.awaitInputProcessed();
+        bench.inOneLoopIteration(() -> {
+            first.reply(200, "");
+            for (int i = 0; i < FEWEST_DESCRIPTORS; i++) {
+                bench.client();
+            }
+        });
+        assertEquals(200, client.status());
+        bench.backends.get(0).next().reply(200, "");
+        assertNotNull(client.answer(), "the connection was closed on a request that had been read");
+    }
+
     private void connectIdleClients() {
         for (int i = 0; !over.get(); i++) {
             try {
