Close unused connections before those in the middle of a request

Callers that paused within a request body were cut off when descriptors ran short, while idle connections were kept.

Cause: evictIdle took the connection that was silent longest, whether or not it had sent a part of a request.

Change: unused connections go first, then the others as before.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -268,9 +268,13 @@
         return evictFirst(unprovenConnections, Connection::isSilent);
     }
 
-    /** Closes the connection that has been idle longest, else any unproven one; false if there is neither. */
+    /**
+     * Closes the connection that has been idle longest, else one that has sent a part of a request, else any
+     * unproven one; false if there is none.
+     */
     boolean evictIdle() {
-        return evictFirst(idleConnections, any -> true) || evictFirst(unprovenConnections, any -> true);
+        return evictFirst(idleConnections, Connection::isUnused) || evictFirst(idleConnections, any -> true)
+                || evictFirst(unprovenConnections, any -> true);
     }
 
     private static boolean evictFirst(Set<Connection> candidates, Predicate<Connection> evictable) {
--- a/src/test/java/larkworks/proxy/DescriptorShortageTest.java
+++ b/src/test/java/larkworks/proxy/DescriptorShortageTest.java
@@ -74,6 +74,23 @@
         assertNotNull(client.answer(), "the connection was closed on a request that had been read");
     }
 
+    /** Guards against the close of a connection in the middle of a request while others are idle. */
+    @Test
+    void receivesRequestsThatClientsSendSlowly() throws Exception {
+        bench.maxSockets = DESCRIPTORS;
+        bench.start(folder);
+        ScriptedServer.daemon(this::answerAll);
+        TestBench.Client client = bench.client().sendLook("first");
+        assertEquals(200, client.status());
+        client.send("POST /act HTTP/1.1\r\nHost: x\r\nX-Call-Id: slow\r\nX-Call-Class: act\r\n"
+                + "X-Budget-Ms: 20000\r\nContent-Length: 10\r\n\r\nhalf ");
+        bench.awaitInputProcessed();
+        for (int i = 0; i < 2 * DESCRIPTORS; i++) {
+            assertEquals(200, bench.client().sendLook("idle" + i).status());
+        }
+        assertEquals(200, client.send("whole").status());
+    }
+
     private void connectIdleClients() {
         for (int i = 0; !over.get(); i++) {
             try {
