Write the answers before a late body before closing its connection

Callers that sent a request behind others and then stopped within its body lost the ends of the earlier answers.

Cause: scheduleBodyCheck closed at once; onRequestTimeout, which has the same question, writes what is unwritten first.

Change: both use closeUnanswered.

Measured: ConnectionClosingTest.finishesWritingAnswersBeforeClosingOnALateBody failed before, passes now.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -499,11 +499,15 @@
             if (!idleOrUnprovenConnections().contains(this)) {
                 return;
             }
-            if (isWritingAnswer()) {
-                writeLastAndClose(Unpooled.EMPTY_BUFFER, CloseReason.REQUEST_LATE);
+            closeUnanswered(CloseReason.REQUEST_LATE);
+        }
+
+        /** Closes the connection on an incomplete request, once the answers before it have been written. */
+        private void closeUnanswered(CloseReason reason) {
+            if (isWritingAnswer() && streamedAnswer == null) {
+                writeLastAndClose(Unpooled.EMPTY_BUFFER, reason);
             } else {
-                logClosed(CloseReason.REQUEST_LATE);
-                channel.close();
+                closeNow(reason);
             }
         }
 
@@ -665,7 +669,7 @@
                 if (stalled && pending != null && !pending.isAnswered()) {
                     driver.failUpload(pending);
                 } else if (stalled || bodyDeadlineMs() <= nowMs()) {
-                    closeNow(CloseReason.BODY_LATE);
+                    closeUnanswered(CloseReason.BODY_LATE);
                 } else {
                     scheduleBodyCheck();
                 }
--- a/src/test/java/larkworks/proxy/ConnectionClosingTest.java
+++ b/src/test/java/larkworks/proxy/ConnectionClosingTest.java
@@ -30,6 +30,8 @@
     private static final int MAX_UNREAD_ANSWERS = 200;
     /** A request that no backend has got after this time was not taken by the proxy. */
     private static final long NOT_TAKEN_MS = 300;
+    /** By then a request must have arrived whole. */
+    private static final long PAST_REQUEST_TIMEOUT_MS = 3_500;
     /** How long the event loop is blocked: past the request timeout and the last request's deadline. */
     private static final int LOOP_BLOCKED_MS = 2_600;
 
@@ -157,6 +159,46 @@
         }
     }
 
+    /** Guards against the loss of the answers before a request whose body does not arrive. */
+    @Test
+    void finishesWritingAnswersBeforeClosingOnALateBody() throws Exception {
+        try (TestBench bench = new TestBench(1).start(folder)) {
+            int maxAnswers = fillWithUnreadAnswers(bench, bench.clientWithSmallBuffer(), MAX_UNREAD_ANSWERS);
+            TestBench.Client client = bench.clientWithSmallBuffer();
+            // One answer less leaves room for another request, while a part of the answers is not written.
+            int answerCount = fillWithUnreadAnswers(bench, client, maxAnswers - 1);
+            client.send("POST /act HTTP/1.1\r\nHost: x\r\nX-Call-Id: late\r\nX-Call-Class: act\r\n"
+                    + "X-Budget-Ms: 20000\r\nContent-Length: 10\r\n\r\nx");
+            Thread.sleep(PAST_REQUEST_TIMEOUT_MS);
+            readAnswers(client, answerCount);
+            assertClosedWithoutFurtherRequest(bench, client);
+        }
+    }
+
+    /** Requests answers that the client does not read, until a request is not taken; counts the answers. */
+    private static int fillWithUnreadAnswers(TestBench bench, TestBench.Client client, int maxAnswers)
+            throws Exception {
+        int answerCount = 0;
+        while (answerCount < maxAnswers) {
+            client.sendLook(Integer.toString(answerCount));
+            if (!bench.backends.get(0).awaitMessage(NOT_TAKEN_MS)) {
+                return answerCount;
+            }
+            bench.backends.get(0).next().reply(200, "x".repeat(BUFFERED_ANSWER_BYTES));
+            bench.awaitInputProcessed();
+            answerCount++;
+        }
+        return answerCount;
+    }
+
+    private static void readAnswers(TestBench.Client client, int count) throws IOException {
+        for (int i = 0; i < count; i++) {
+            StubServer.Message answer = client.answer();
+            assertNotNull(answer, "the connection ended after " + i + " of " + count + " answers");
+            assertEquals("x".repeat(BUFFERED_ANSWER_BYTES), answer.text());
+        }
+    }
+
     @Test
     void finishesWritingAnAnswerThatIsNotReadBeforeClosingIdleConnection() throws Exception {
         try (TestBench bench = new TestBench(1).start(folder)) {
