Don't take a request that waits behind unread answers for a late one

Callers that sent their next request while they had not read the answers before lost it after 2.5 s: it was read and closed unanswered.

Cause: the time limit of a request head began with the head's first bytes, also while the connection takes no request as answers wait to be written.

Change: it begins then once the connection takes requests again (resume).

Measured: ConnectionClosingTest.answersARequestThatWaitsBehindUnreadAnswers failed before, passes now. DescriptorShortageTest and ConnectionClosingTest: green.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -528,7 +528,7 @@
             if (idleOrUnprovenConnections().remove(this)) {
                 idleOrUnprovenConnections().add(this);
             }
-            if (!bytesArrivedSinceRequest && head == null && proven) {
+            if (!bytesArrivedSinceRequest && head == null && proven && channel.isWritable()) {
                 startRequestTimeout();
             }
             reads++;
--- a/src/test/java/larkworks/proxy/ConnectionClosingTest.java
+++ b/src/test/java/larkworks/proxy/ConnectionClosingTest.java
@@ -159,6 +159,19 @@
         }
     }
 
+    /** Guards against the loss of a request that was read, but waits as its client doesn't read answers. */
+    @Test
+    void answersARequestThatWaitsBehindUnreadAnswers() throws Exception {
+        try (TestBench bench = new TestBench(1).start(folder)) {
+            TestBench.Client client = bench.clientWithSmallBuffer();
+            int answerCount = fillWithUnreadAnswers(bench, client, MAX_UNREAD_ANSWERS);
+            Thread.sleep(PAST_REQUEST_TIMEOUT_MS);
+            readAnswers(client, answerCount);
+            bench.backends.get(0).next().reply(200, "last");
+            assertEquals("last", client.answer().text());
+        }
+    }
+
     /** Guards against the loss of the answers before a request whose body does not arrive. */
     @Test
     void finishesWritingAnswersBeforeClosingOnALateBody() throws Exception {
