Count answers that wait for their clients, and take fewer requests at the limit

Cause: a connection takes its next request while less than 64 KiB of answers wait for its client, and nothing counted these for all connections together: 26.5 MB of byte arrays in a heap of 32 MB in a class histogram of the case.

Change: the common limit of answers, 4 MB, also counts those that wait for clients (UnwrittenAnswers). Beyond it a connection takes its next request once its answers are written, and answers are passed on in parts. A stall check ends with its write.

--- a/src/main/java/larkworks/proxy/BackendPool.java
+++ b/src/main/java/larkworks/proxy/BackendPool.java
@@ -75,14 +75,17 @@
     private static final HttpHeadersFactory HEADERS =
             ResponseDecoder.keeping(HttpHeaderNames.CONTENT_TYPE, "X-Rejected", "X-Load-Report");
 
-    /** Memory limit for the answers that are being buffered, of all connections together. */
-    private static final int MAX_BUFFERED_ANSWERS_BYTES = 4 << 20;
+    /**
+     * Memory limit for answers, of all connections together: those that are being buffered, and those that
+     * wait for their clients. Beyond it answers are passed on in parts as they arrive.
+     */
+    static final int MAX_ANSWERS_BYTES = 4 << 20;
 
     private final Bootstrap bootstrap;
     private final EventLoop loop;
     private final Sockets sockets;
     private final long idleTimeoutUs;
-    private final MemoryBudget bufferedAnswers = new MemoryBudget(MAX_BUFFERED_ANSWERS_BYTES);
+    private final MemoryBudget answers;
     /** The idle connections to each backend, the most recently used last. */
     private final Map<InetSocketAddress, ArrayDeque<Connection>> idleByAddress = new HashMap<>();
     /** All idle connections, the longest idle first. */
@@ -90,15 +93,32 @@
     /** Backends to which no idle connections are kept. */
     private Set<InetSocketAddress> unpooledAddresses = Set.of();
 
+    /** Creates a pool whose answers have a memory limit of their own. */
     BackendPool(EventLoop loop, Sockets sockets, long connectTimeoutUs, long keepAliveUs) {
-        this(loop, sockets, connectTimeoutUs, keepAliveUs, TcpChannel::new);
+        this(loop, sockets, connectTimeoutUs, keepAliveUs, new MemoryBudget(MAX_ANSWERS_BYTES));
+    }
+
+    /**
+     * Creates a pool.
+     *
+     * @param answers counts the memory of answers
+     */
+    BackendPool(EventLoop loop, Sockets sockets, long connectTimeoutUs, long keepAliveUs,
+            MemoryBudget answers) {
+        this(loop, sockets, connectTimeoutUs, keepAliveUs, answers, TcpChannel::new);
     }
 
     /** Creates a pool with a given channel factory, so that tests can make the opening of sockets fail. */
     BackendPool(EventLoop loop, Sockets sockets, long connectTimeoutUs, long keepAliveUs,
             ChannelFactory<NioSocketChannel> channels) {
+        this(loop, sockets, connectTimeoutUs, keepAliveUs, new MemoryBudget(MAX_ANSWERS_BYTES), channels);
+    }
+
+    private BackendPool(EventLoop loop, Sockets sockets, long connectTimeoutUs, long keepAliveUs,
+            MemoryBudget answers, ChannelFactory<NioSocketChannel> channels) {
         this.loop = loop;
         this.sockets = sockets;
+        this.answers = answers;
         this.idleTimeoutUs = Math.max(keepAliveUs / 2, keepAliveUs - IDLE_TIMEOUT_MARGIN_US);
         this.bootstrap = new Bootstrap().group(loop).channelFactory(channels)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -515,7 +535,7 @@
             if (inInterimAnswer) {
                 return;
             }
-            IncomingAnswer received = new IncomingAnswer(head, bufferedAnswers);
+            IncomingAnswer received = new IncomingAnswer(head, answers);
             if (received.hasStatusOk() && received.length > MAX_BODY_BYTES) {
                 received.release();
                 reject();
@@ -547,7 +567,7 @@
             } else if (incoming.sink != null) {
                 forward(content.content().retain());
             } else if (size > 0) {
-                boolean hasRoom = bufferedAnswers.fits(size);
+                boolean hasRoom = answers.fits(size);
                 incoming.buffer(content.content());
                 if (!hasRoom || incoming.bufferedBytes() > MAX_BUFFERED_BODY_BYTES) {
                     startForwarding();
--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -129,14 +129,23 @@
     private volatile int openConnections;
     /** The buffered bodies and the buffers of bytes sent ahead, of all connections. */
     private final MemoryBudget buffered = new MemoryBudget(MAX_BUFFERED_BYTES);
+    /** The answers that are being received from backends or not written to clients yet. */
+    private final MemoryBudget answers;
     /** Whether a call of {@link Connection#readNow} is running, on any connection; such calls don't nest. */
     private boolean readNowRunning;
     private long memoryShortLoggedMs = nowMs() - MEMORY_LOG_INTERVAL_MS;
     private boolean warmedUp;
     private boolean draining;
 
-    Frontend(Config config, EventLoop loop, Sockets sockets, Driver driver, PollTimes polls) {
+    /**
+     * Creates the client side; it does not listen yet.
+     *
+     * @param answers counts the memory of answers, shared with the pool that receives them
+     */
+    Frontend(Config config, EventLoop loop, Sockets sockets, Driver driver, PollTimes polls,
+            MemoryBudget answers) {
         this.polls = polls;
+        this.answers = answers;
         this.loop = loop;
         this.sockets = sockets;
         this.driver = driver;
@@ -243,6 +252,11 @@
         return buffered.usedBytes();
     }
 
+    /** Returns the size of the answers that are being received or wait for their clients. */
+    int answerBytes() {
+        return answers.usedBytes();
+    }
+
     /** Returns the number of open client connections. */
     int openConnections() {
         return openConnections;
@@ -376,6 +390,8 @@
         private boolean awaitingAnswer;
         /** The current request as the driver holds it, or null. */
         private PendingRequest pending;
+        private final UnwrittenAnswers unwrittenAnswers =
+                new UnwrittenAnswers(answers, this::onAnswerWritten);
         /** The large answer that is being passed on to the client, or null. */
         private StreamedAnswer streamedAnswer;
         /** Whether the last answer is being written; further received messages are dropped. */
@@ -403,9 +419,11 @@
                 releaseReserved();
                 sockets.release();
                 driver.invariants().check(
-                        openConnections >= 0 && buffered.usedBytes() >= 0 && sockets.isConsistent(),
+                        openConnections >= 0 && buffered.usedBytes() >= 0 && answers.usedBytes() >= 0
+                                && sockets.isConsistent(),
                         Rule.COUNTS_NOT_NEGATIVE, "", () -> "connections=" + openConnections + " held_bytes="
-                                + buffered.usedBytes() + " sockets=" + sockets.openCount());
+                                + buffered.usedBytes() + " answer_bytes=" + answers.usedBytes() + " sockets="
+                                + sockets.openCount());
             });
             if (!sockets.addAccepted()) {
                 // Further connections wait in the listener's queue until one closes.
@@ -528,7 +546,7 @@
             if (idleOrUnprovenConnections().remove(this)) {
                 idleOrUnprovenConnections().add(this);
             }
-            if (!bytesArrivedSinceRequest && head == null && proven && channel.isWritable()) {
+            if (!bytesArrivedSinceRequest && head == null && proven && hasRoomForAnswer()) {
                 startRequestTimeout();
             }
             reads++;
@@ -543,7 +561,18 @@
          */
         private boolean takesMessages() {
             return !closing && channel.isActive()
-                    && (receivingBody || head == null && channel.isWritable() && !hasUsedItsTurn());
+                    && (receivingBody || head == null && hasRoomForAnswer() && !hasUsedItsTurn());
+        }
+
+        /** Returns whether another answer may wait for the client. */
+        private boolean hasRoomForAnswer() {
+            return channel.isWritable() && unwrittenAnswers.allowAnotherRequest();
+        }
+
+        private void onAnswerWritten() {
+            if (!closing && head == null && decoder.undecodedBytes() > 0 && hasRoomForAnswer()) {
+                scheduleResume();
+            }
         }
 
         private boolean hasUsedItsTurn() {
@@ -901,19 +930,17 @@
                 response.headers().set(HttpHeaderNames.RETRY_AFTER,
                         String.format(Locale.ROOT, "%.3f", retryAfterUs / 1e6));
             }
+            int bodyBytes = response.content().readableBytes();
             boolean last = setConnectionHeader(response);
-            if (last) {
-                notifyWritten(writeLastAndClose(response, CloseReason.LAST_ANSWER), delivery);
-            } else {
-                notifyWritten(lingering.resetIfStalled(channel, channel.writeAndFlush(response)), delivery);
+            ChannelFuture write = last ? writeLastAndClose(response, CloseReason.LAST_ANSWER)
+                    : lingering.resetIfStalled(channel, channel.writeAndFlush(response));
+            unwrittenAnswers.add(bodyBytes, write);
+            write.addListener(done -> delivery.ended(done.isSuccess()));
+            if (!last) {
                 nextRequest();
             }
         }
 
-        private void notifyWritten(ChannelFuture writing, DeliveryListener delivery) {
-            writing.addListener(done -> delivery.ended(done.isSuccess()));
-        }
-
         /** Sets the answer's Connection header; returns whether the connection closes after this answer. */
         private boolean setConnectionHeader(HttpResponse response) {
             boolean last = !keepAlive || receivingBody
@@ -1156,8 +1183,10 @@
                 return;
             }
             // The stall timer runs on until the last byte is written, as the client may still stop reading.
-            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                    .addListener(done -> stop(done.isSuccess()));
+            ChannelFuture write = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+            write.addListener(done -> stop(done.isSuccess()));
+            // The share of the write buffers limits what is left of the body.
+            connection.unwrittenAnswers.add(0, write);
             connection.nextRequest();
         }
 
--- a/src/main/java/larkworks/proxy/LingeringClose.java
+++ b/src/main/java/larkworks/proxy/LingeringClose.java
@@ -101,13 +101,14 @@
 
     private void scheduleStallCheck(Channel channel, ChannelFuture written) {
         long unwrittenBefore = unwrittenBytes(channel);
-        loop.schedule(() -> {
+        Future<?> check = loop.schedule(() -> {
             if (!written.isDone() && unwrittenBytes(channel) == unwrittenBefore) {
                 reset(channel);
             } else if (!written.isDone()) {
                 scheduleStallCheck(channel, written);
             }
         }, STALL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        written.addListener(done -> check.cancel(false));
     }
 
     private void startLingering(Channel channel) {
--- a/src/main/java/larkworks/proxy/Main.java
+++ b/src/main/java/larkworks/proxy/Main.java
@@ -101,10 +101,12 @@
         this.config = config;
         sockets = new Sockets(config.sockets(),
                 config.adminAddress() == null ? 0 : AdminServer.MAX_CONNECTIONS + 1);
-        BackendPool pool = new BackendPool(loop, sockets, config.connectTimeoutUs(), config.keepAliveUs());
+        MemoryBudget answers = new MemoryBudget(BackendPool.MAX_ANSWERS_BYTES);
+        BackendPool pool = new BackendPool(loop, sockets, config.connectTimeoutUs(), config.keepAliveUs(),
+                answers);
         meters = config.metricsEnabled() ? new Meters(config.settings().classes()) : null;
         driver = new Driver(config, new Clock(), loop, pool, meters);
-        frontend = new Frontend(config, loop, sockets, driver, pollTimes);
+        frontend = new Frontend(config, loop, sockets, driver, pollTimes, answers);
         discovery = new Discovery(config, loop, sockets, driver);
         fleetMember = config.fleet() == null ? null
                 : new FleetMember(loop, config.fleet(), new MembershipLog(),
@@ -168,6 +170,7 @@
         meters.registerGauge("larkworks.sockets.open", sockets, s -> s.openCount());
         meters.registerGauge("larkworks.clients.connections", frontend, f -> f.openConnections());
         meters.registerGauge("larkworks.clients.buffered.bytes", frontend, f -> f.bufferedBytes());
+        meters.registerGauge("larkworks.answers.bytes", frontend, f -> f.answerBytes());
         meters.registerGauge("larkworks.heap.used.bytes", Runtime.getRuntime(),
                 heap -> heap.totalMemory() - heap.freeMemory());
         meters.registerGauge("larkworks.loop.longest.gap.ms", pollTimes, PollTimes::longestGapMs);
--- a/src/test/java/larkworks/proxy/MemoryPressureTest.java
+++ b/src/test/java/larkworks/proxy/MemoryPressureTest.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * A proxy process with the deployed heap and 1,024 descriptors, while hundreds of clients at once make it
@@ -30,6 +32,9 @@
     /** An answer that comes later than this after its request's time counts as lost. */
     private static final int LATE_MS = 500;
     private static final long PROBE_INTERVAL_MS = 100;
+    private static final int REQUESTS_AHEAD = 60;
+    /** How long clients that are cut off take nothing. */
+    private static final long CUT_OFF_MS = 6_000;
     private static final String PROBE = "probe";
     private static final String SHORT_FIELD = "a:\r\n";
     /** A head is up to 8 KiB. */
@@ -118,6 +123,23 @@
         survives(CLIENTS, MemoryPressureTest::readAnswer, MemoryPressureTest::endAnswerLate);
     }
 
+    /** Guards against the process's end by answers that wait for clients that are cut off. */
+    @ParameterizedTest
+    @ValueSource(ints = {500, 16_000, 64_000})
+    void survivesAnswersToManyRequestsThatAreReadLate(int answerBytes) throws Exception {
+        String answer = "HTTP/1.1 200 OK\r\nContent-Length: " + answerBytes + "\r\n\r\n"
+                + "x".repeat(answerBytes);
+        survives(CLIENTS, (socket, id) -> {
+            StringBuilder requests = new StringBuilder();
+            for (int i = 0; i < REQUESTS_AHEAD; i++) {
+                requests.append(request("GET", "look", id + "-" + i, ""));
+            }
+            write(socket, requests.toString());
+            Thread.sleep(CUT_OFF_MS);
+            readSlowlyToEnd(socket);
+        }, exchange -> exchange.send(answer));
+    }
+
     /** The kinds of pressure that each hold much memory, at once. */
     @Test
     void survivesAllKindsAtOnce() throws Exception {
@@ -174,7 +196,7 @@
 
     private static void sendHeadsAhead(Socket socket, String id) throws IOException {
         write(socket, request("GET", "look", id, ""));
-        for (int i = 0; i < 60; i++) {
+        for (int i = 0; i < REQUESTS_AHEAD; i++) {
             write(socket, request("GET", "look", id + "-" + i, SHORT_FIELD.repeat(SHORT_FIELDS)));
         }
         readToEnd(socket);
