Begin a request's time limit only once bytes of it have arrived

Callers whose answers had waited in the proxy had their idle connections closed 2.5 s after they had read them, as "late" with a request that they had not begun; a request that crossed the close had to be sent again.

Cause: when the connection becomes writable again, resume starts the time limit of a request head whether or not anything has arrived.

Change: it looks at that first.

Measured: ConnectionClosingTest.keepsAnIdleConnectionWhoseAnswersHaveBeenRead failed before, passes now. Seven test classes of the client side: green.

--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -1059,7 +1059,7 @@
                 closeNow(CloseReason.FAILED);
                 return;
             }
-            if (head == null && requestTimeout == null && takesMessages()) {
+            if (head == null && bytesArrivedSinceRequest && requestTimeout == null && takesMessages()) {
                 startRequestTimeout();
             }
             if (decoder.hasDropped() && takesMessages()) {
--- a/src/test/java/larkworks/proxy/ConnectionClosingTest.java
+++ b/src/test/java/larkworks/proxy/ConnectionClosingTest.java
@@ -172,6 +172,20 @@
         }
     }
 
+    /** Guards against the time limit of a request on a connection on which none has begun to arrive. */
+    @Test
+    void keepsAnIdleConnectionWhoseAnswersHaveBeenRead() throws Exception {
+        try (TestBench bench = new TestBench(1).start(folder)) {
+            int maxAnswers = fillWithUnreadAnswers(bench, bench.clientWithSmallBuffer(), MAX_UNREAD_ANSWERS);
+            TestBench.Client client = bench.clientWithSmallBuffer();
+            readAnswers(client, fillWithUnreadAnswers(bench, client, maxAnswers));
+            Thread.sleep(PAST_REQUEST_TIMEOUT_MS);
+            client.sendLook("next");
+            bench.backends.get(0).next().reply(200, "served");
+            assertEquals("served", client.answer().text());
+        }
+    }
+
     /** Guards against the loss of the answers before a request whose body does not arrive. */
     @Test
     void finishesWritingAnswersBeforeClosingOnALateBody() throws Exception {
