Take a list caller's next call only once it reads its answers

A caller of the list service that sends calls and does not read made the service keep all answers: the memory of every proxy's discovery.

Cause: calls are answered as they come while none waits for a change, whatever the caller has read; an answer is an array of its own, the whole list at most.

Measured: RegistryTest.answersNoFurtherCallsOfACallerThatDoesNotRead, 20,000 calls unread: failed before, passes now.

--- a/src/main/java/larkworks/registry/RegistryServer.java
+++ b/src/main/java/larkworks/registry/RegistryServer.java
@@ -129,7 +129,10 @@
         open.close().syncUninterruptibly();
     }
 
-    /** One caller: its calls are answered one after the other, in their order. */
+    /**
+     * One caller: its calls are answered one after the other, in their order, and none is taken while the
+     * caller doesn't read its answers.
+     */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
 
         private final Queue<FullHttpRequest> ahead = new ArrayDeque<>();
@@ -140,13 +143,35 @@
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest call) {
             if (ahead.size() >= MOST_AHEAD) {
                 context.close();
-            } else if (answering) {
+            } else if (answering || !context.channel().isWritable()) {
                 ahead.add(call.retain());
             } else {
                 take(context, call);
             }
         }
 
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            takeNext(context);
+        }
+
+        /** Takes the next call that was read ahead, unless one is being answered or answers are unread. */
+        private void takeNext(ChannelHandlerContext context) {
+            if (answering || ahead.isEmpty() || !context.channel().isWritable()) {
+                return;
+            }
+            answering = true;
+            FullHttpRequest next = ahead.remove();
+            // Not from here: a row of calls would be as many calls deep.
+            loop.execute(() -> {
+                try {
+                    take(context, next);
+                } finally {
+                    next.release();
+                }
+            });
+        }
+
         private void take(ChannelHandlerContext context, FullHttpRequest call) {
             answering = true;
             boolean keep = HttpUtil.isKeepAlive(call);
@@ -292,18 +317,7 @@
                 written.addListener(ChannelFutureListener.CLOSE);
             }
             answering = false;
-            FullHttpRequest next = ahead.poll();
-            if (next != null) {
-                // Not from here: a row of calls would be as many calls deep.
-                loop.execute(() -> {
-                    try {
-                        take(context, next);
-                    } finally {
-                        next.release();
-                    }
-                });
-                answering = true;
-            }
+            takeNext(context);
         }
 
         @Override
--- a/src/test/java/larkworks/registry/RegistryTest.java
+++ b/src/test/java/larkworks/registry/RegistryTest.java
@@ -5,7 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -101,6 +107,47 @@
         }
     }
 
+    /** Guards against answers without end that are kept for a caller that does not read them. */
+    @Test
+    void answersNoFurtherCallsOfACallerThatDoesNotRead() throws Exception {
+        int calls = 20_000;
+        try (Registry registry = start(10); Socket socket = new Socket()) {
+            Caller caller = caller(registry);
+            for (int i = 1; i <= 20; i++) {
+                caller.register("s" + i, "10.0.0.1:" + i, "");
+            }
+            int answerBytes = caller.call("GET", "/registry/instances", "").body().toString().length();
+            socket.setReceiveBufferSize(1 << 12);
+            socket.connect(registry.address());
+            socket.setSoTimeout(5_000);
+            OutputStream out = socket.getOutputStream();
+            try {
+                out.write("GET /registry/instances HTTP/1.1\r\nHost: x\r\n\r\n".repeat(calls)
+                        .getBytes(StandardCharsets.US_ASCII));
+                Thread.sleep(2_000);
+            } catch (SocketException e) {
+                // The service has closed the connection.
+            }
+            long received = receivedBytes(socket.getInputStream());
+            assertTrue(received < (long) calls * answerBytes / 2, "bytes of answers: " + received);
+            assertEquals(20, caller.list("").endpoints().size(), "others are answered");
+        }
+    }
+
+    /** Reads to the end of a connection, its reset or a long silence, and counts the bytes. */
+    private static long receivedBytes(InputStream in) throws IOException {
+        byte[] buffer = new byte[1 << 16];
+        long received = 0;
+        try {
+            for (int bytes = in.read(buffer); bytes >= 0; bytes = in.read(buffer)) {
+                received += bytes;
+            }
+        } catch (SocketException | SocketTimeoutException e) {
+            // No more answers follow.
+        }
+        return received;
+    }
+
     private static Change change(int index) {
         return new Change(index, new Instance("s" + index, "10.0.0.1:" + index, "a", "m", 1,
                 Status.IN_SERVICE, 1, 0, 0, false, 0));
