Call discovery again in time however many calls got no answer

Cause: DiscoveryWaits doubled all time-outs with each call in a row that got no answer, for services that are slow, and took that back only after quick answers. A dead connection looks the same.

Change: time-outs are fixed. A slow service is waited for by keeping the second call in a row that timed out beside newer ones, at most two at a time; whichever is answered first ends the other. DiscoveryConnection and DiscoveryCall are split from Discovery.

--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -1,27 +1,13 @@
 package larkworks.proxy;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeadersFactory;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Objects;
@@ -29,7 +15,6 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import larkworks.Balancer.ListKind;
-import larkworks.platform.Addresses;
 import larkworks.proxy.DiscoveryWaits.Purpose;
 import larkworks.transport.SystemError;
 import larkworks.transport.TcpChannel;
@@ -40,16 +25,14 @@
  * Keeps the list of backends up to date by long polls ("watches") of the discovery service. With discovery
  * {@code pushed} it watches from the start. With discovery {@code on_request} the decision module says when
  * to begin a watch, which then goes on until a call fails.
+ *
+ * <p>A call that times out is followed by a new one, so that the proxy learns of changes as soon as discovery
+ * answers again. The second one in a row is also kept for some time, as a service that handles calls one by
+ * one may still answer it first; whichever is answered first ends the other.
  */
-final class Discovery {
+final class Discovery implements DiscoveryConnection.Listener {
 
     private static final Logger LOG = LoggerFactory.getLogger("discovery");
-    private static final String INSTANCES_PATH = "/registry/instances";
-    /** Header by which {@code larkworks.registry} names the epoch of its data; versions compare within it. */
-    private static final String EPOCH_HEADER = "X-Registry-Epoch";
-    /** Header of a registry replica that has had no contact with a leader for too long. */
-    private static final String STALE_HEADER = "X-Registry-Stale";
-    private static final HttpHeadersFactory HEADERS = ResponseDecoder.keeping(EPOCH_HEADER, STALE_HEADER);
     /**
      * Pause after an empty answer that arrived at once, so that proxy and discovery don't poll in a busy
      * loop. Far below 200 ms: if the next call started later than that, the watch would be regarded as
@@ -87,8 +70,12 @@
     private final EventLoop loop;
     private final Sockets sockets;
     private final Driver driver;
-    private Channel channel;
-    private Future<?> timeoutTask;
+    /** The connection of the current call or, between calls, the one for the next call; may be null. */
+    private DiscoveryConnection connection;
+    /** The call in progress; null between calls. */
+    private DiscoveryCall currentCall;
+    /** An earlier call that has timed out and may still be answered; null if there is none. */
+    private DiscoveryCall overdueCall;
     /** The task that starts the next call after a pause; null before the first pause. */
     private Future<?> nextCallTask;
     /** The version of the list in force; negative if the next call must ask for the full list. */
@@ -97,19 +84,9 @@
     private String epoch;
     private final long maxRetryPauseMs;
     private long retryPauseMs = MIN_RETRY_PAUSE_MS;
-    private boolean callInProgress;
-    /** The purpose of the call in progress or, between calls, of the next one. */
-    private Purpose purpose = Purpose.FIRST;
-    private final DiscoveryWaits waits = new DiscoveryWaits();
+    /** The purpose of the next call. */
+    private Purpose nextPurpose = Purpose.FIRST;
     private final ListFreshness freshness = new ListFreshness();
-    /** Whether bytes of the answer to the call in progress have arrived. */
-    private boolean answerStarted;
-    /** When the first bytes of that answer arrived, by {@link System#nanoTime}. */
-    private long answerStartedNs;
-    /** Bytes of the body of that answer so far. */
-    private long answerBytes;
-    private long callStartedNs;
-    private long callStartedUs;
     /**
      * When the list in force was current: the start time of the call that returned it. Used by
      * {@link StartTimes}.
@@ -211,9 +188,8 @@
 
     void close() {
         closed = true;
-        if (channel != null) {
-            channel.close();
-        }
+        abandonOverdueCall();
+        closeConnection();
     }
 
     /**
@@ -227,14 +203,12 @@
         }
         addresses = newAddresses;
         addressIndex = 0;
-        purpose = Purpose.FIRST;
+        nextPurpose = Purpose.FIRST;
         consecutiveFailures = 0;
         consecutiveRefusals = 0;
-        if (callInProgress) {
-            callInProgress = false;
-            timeoutTask.cancel(false);
-        }
-        closeChannel();
+        abandonCurrentCall();
+        abandonOverdueCall();
+        closeConnection();
         startCall();
     }
 
@@ -244,78 +218,76 @@
         epoch = null;
     }
 
-    private void closeChannel() {
-        if (channel != null) {
-            Channel oldChannel = channel;
-            channel = null;
-            oldChannel.close();
+    private void closeConnection() {
+        if (connection != null) {
+            DiscoveryConnection oldConnection = connection;
+            connection = null;
+            oldConnection.close();
         }
     }
 
     /** Starts a call for the full list or, with a list in force, for the changes since its version. */
     private void startCall() {
-        if (callInProgress || closed) {
+        if (currentCall != null || closed) {
             return;
         }
         if (nextCallTask != null) {
             nextCallTask.cancel(false);
         }
-        callInProgress = true;
-        answerStarted = false;
-        answerBytes = 0;
-        long startedNs = System.nanoTime();
-        callStartedNs = startedNs;
-        callStartedUs = driver.clock().nowUs();
-        startTimeout(waits.firstByteTimeoutMs(purpose, index < 0));
-        if (channel != null && channel.isActive()) {
-            sendRequest(channel);
+        DiscoveryCall call = new DiscoveryCall(nextPurpose, index, driver.clock().nowUs());
+        currentCall = call;
+        startTimeout(call, DiscoveryWaits.firstByteTimeoutMs(call.purpose, call.asksForFullList()));
+        if (connection != null && connection.isActive()) {
+            call.connection = connection;
+            connection.send(call);
         } else {
-            Bootstrap bootstrap = new Bootstrap().group(loop).channel(TcpChannel.class)
-                    .option(ChannelOption.TCP_NODELAY, true)
-                    .option(ChannelOption.ALLOCATOR, Sockets.HEAP_BUFFERS)
-                    .option(ChannelOption.RECVBUF_ALLOCATOR,
-                            sockets.readBufferAllocator().maxMessagesPerRead(READS_PER_LOOP_ITERATION))
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) DiscoveryWaits.FIRST_CALL_TIMEOUT_MS)
-                    .handler(new ChannelInitializer<SocketChannel>() {
-                        @Override
-                        protected void initChannel(SocketChannel newChannel) {
-                            newChannel.pipeline().addLast(
-                                    new ReadNotifier(() -> answerBytesReceived(newChannel)),
-                                    new HttpRequestEncoder(), new ResponseDecoder(HEADERS),
-                                    new AnswerReader());
-                        }
-                    });
-            channel = sockets.connectReserved(bootstrap, loop, addresses.get(addressIndex), connectFuture -> {
-                if (connectFuture != null && connectFuture.isSuccess()) {
-                    sendRequest(connectFuture.channel());
-                } else if (connectFuture == null || SystemError.of(connectFuture.cause()).isLocal()) {
-                    localConnectFailed(startedNs);
-                } else {
-                    connectionClosed(connectFuture.channel());
-                }
-            });
+            connect(call);
         }
     }
 
+    /** Opens a connection and sends the call on it. */
+    private void connect(DiscoveryCall call) {
+        InetSocketAddress address = addresses.get(addressIndex);
+        DiscoveryConnection newConnection = new DiscoveryConnection(address, zones, this);
+        connection = newConnection;
+        call.connection = newConnection;
+        Bootstrap bootstrap = new Bootstrap().group(loop).channel(TcpChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOCATOR, Sockets.HEAP_BUFFERS)
+                .option(ChannelOption.RECVBUF_ALLOCATOR,
+                        sockets.readBufferAllocator().maxMessagesPerRead(READS_PER_LOOP_ITERATION))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) DiscoveryWaits.FIRST_CALL_TIMEOUT_MS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel newChannel) {
+                        newConnection.addHandlers(newChannel.pipeline());
+                    }
+                });
+        sockets.connectReserved(bootstrap, loop, address, connectFuture -> {
+            if (call != currentCall) {
+                newConnection.close();
+            } else if (connectFuture != null && connectFuture.isSuccess()) {
+                newConnection.send(call);
+            } else if (connectFuture == null || SystemError.of(connectFuture.cause()).isLocal()) {
+                localConnectFailed();
+            } else {
+                closed(newConnection);
+            }
+        });
+    }
+
     /**
      * Retries the call after a short pause: this machine had no descriptor, port or buffer for the
      * connection, which says nothing about discovery. After too many such failures in a row the call is
-     * handled as failed. Does nothing if another call has started since, for example after a change of the
-     * addresses.
-     *
-     * @param startedNs the start time of the call that needed the connection
+     * handled as failed.
      */
-    private void localConnectFailed(long startedNs) {
-        if (startedNs != callStartedNs || !callInProgress || closed) {
-            return;
-        }
+    private void localConnectFailed() {
         if (++consecutiveLocalFailures > MAX_LOCAL_FAILURES) {
             callFailed("no descriptor, port or buffer on this machine for the connection");
             return;
         }
-        callInProgress = false;
-        timeoutTask.cancel(false);
-        closeChannel();
+        abandonCurrentCall();
+        closeConnection();
         scheduleCall(LOCAL_FAILURE_PAUSE_MS);
     }
 
@@ -324,63 +296,76 @@
         nextCallTask = loop.schedule(this::startCall, delayMs, TimeUnit.MILLISECONDS);
     }
 
-    private void startTimeout(long timeoutMs) {
-        timeoutTask = loop.schedule(this::answerTimedOut, timeoutMs, TimeUnit.MILLISECONDS);
+    private void startTimeout(DiscoveryCall call, long timeoutMs) {
+        call.setTimeout(loop.schedule(() -> answerTimedOut(call), timeoutMs, TimeUnit.MILLISECONDS));
     }
 
     /**
-     * Ends a call whose answer did not start or did not continue within the timeout. With discovery
+     * Handles a call whose answer did not start or did not continue within the timeout. With discovery
      * {@code on_request} the next call starts at once: the platform soon regards changes that a dead watch
      * misses as delivered to the proxy. The decision module is not notified of the failure, as it would then
      * wait before it asks for the next watch.
      */
-    private void answerTimedOut() {
-        waits.callTimedOut();
-        if (isOnRequest && callInProgress && !closed) {
-            abandonCall(answerStarted ? "the answer stalled" : "no answer before the timeout");
+    private void answerTimedOut(DiscoveryCall call) {
+        if (call == overdueCall) {
+            abandonOverdueCall();
+            return;
+        }
+        if (call != currentCall || closed) {
+            return;
+        }
+        String reason = call.hasAnswerStarted() ? "the answer stalled" : "no answer before the timeout";
+        // The first call that times out in a row is not kept: most often its connection is dead.
+        if (call.purpose == Purpose.CATCH_UP && overdueCall == null && call.connection.isActive()) {
+            keepAsOverdue(call);
+        }
+        if (isOnRequest) {
+            endCurrentCall(reason);
             startCall();
         } else {
-            callFailed(answerStarted ? "the answer stalled" : "no answer before the timeout");
+            callFailed(reason);
         }
     }
 
+    /** Keeps a call that has timed out, so that a late answer to it is still received. */
+    private void keepAsOverdue(DiscoveryCall call) {
+        overdueCall = call;
+        connection = null;
+        startTimeout(call, DiscoveryWaits.OVERDUE_CALL_TIMEOUT_MS);
+    }
+
     /** Restarts the timeout when bytes of an answer arrive; it is shorter from the first byte on. */
-    private void answerBytesReceived(Channel sourceChannel) {
-        if (sourceChannel != channel || !callInProgress) {
-            return;
+    @Override
+    public void answerBytesReceived(DiscoveryCall call) {
+        call.noteAnswerBytes();
+        if (call == currentCall) {
+            startTimeout(call, DiscoveryWaits.nextBytesTimeoutMs(call.answerAgeMs(), call.bodyBytes()));
         }
-        answerStartedNs = answerStarted ? answerStartedNs : System.nanoTime();
-        answerStarted = true;
-        timeoutTask.cancel(false);
-        startTimeout(waits.nextBytesTimeoutMs(
-                TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - answerStartedNs), answerBytes));
     }
 
-    private void sendRequest(Channel target) {
-        var request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                index < 0 ? INSTANCES_PATH
-                        : INSTANCES_PATH + "?index=" + index + "&wait=" + waits.waitMs(purpose),
-                Unpooled.EMPTY_BUFFER);
-        InetSocketAddress address = addresses.get(addressIndex);
-        request.headers().set(HttpHeaderNames.HOST, Addresses.text(address));
-        target.writeAndFlush(request);
+    @Override
+    public void invalidListReceived(DiscoveryCall call) {
+        requireFullList();
     }
 
-    private void connectionClosed(Channel closedChannel) {
-        if (closedChannel == channel) {
-            channel = null;
-            if (callInProgress) {
+    @Override
+    public void closed(DiscoveryConnection closedConnection) {
+        if (overdueCall != null && overdueCall.connection == closedConnection) {
+            abandonOverdueCall();
+        } else if (closedConnection == connection) {
+            connection = null;
+            if (currentCall != null) {
                 callFailed("the connection closed before the answer was complete");
             }
         }
     }
 
-    /** Ends the call in progress as failed and schedules a retry. The list in force stays. */
+    /** Ends the current call as failed and schedules a retry. The list in force stays. */
     private void callFailed(String reason) {
-        if (!callInProgress || closed) {
+        if (currentCall == null || closed) {
             return;
         }
-        abandonCall(reason);
+        endCurrentCall(reason);
         if (isOnRequest) {
             scheduleCall(ON_REQUEST_RETRY_PAUSE_MS + random.nextLong(ON_REQUEST_RETRY_JITTER_MS));
             driver.discoveryFailed();
@@ -395,25 +380,41 @@
         markFirstCallEnded();
     }
 
-    /** Ends the call in progress; with several addresses the next call goes to another one. */
-    private void abandonCall(String reason) {
+    /** Ends the current call without an answer; with several addresses the next call goes to another one. */
+    private void endCurrentCall(String reason) {
         freshness.callFailed(driver.clock().nowUs(), reason);
         if (LOG.isDebugEnabled()) {
-            LOG.atDebug().addKeyValue("why", reason).addKeyValue("purpose", purpose)
-                    .addKeyValue("index", index).addKeyValue("bytes", answerBytes)
-                    .addKeyValue("after_ms", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - callStartedNs))
-                    .log("call given up");
+            LOG.atDebug().addKeyValue("why", reason).addKeyValue("purpose", currentCall.purpose)
+                    .addKeyValue("index", index).addKeyValue("bytes", currentCall.bodyBytes())
+                    .addKeyValue("kept", currentCall == overdueCall)
+                    .addKeyValue("after_ms", currentCall.ageMs()).log("call given up");
         }
         consecutiveLocalFailures = 0;
-        callInProgress = false;
-        purpose = Purpose.CATCH_UP;
-        timeoutTask.cancel(false);
-        closeChannel();
+        nextPurpose = Purpose.CATCH_UP;
+        abandonCurrentCall();
+        closeConnection();
         if (addresses.size() > 1) {
             failOver();
         }
     }
 
+    /** Stops waiting for the answer to the current call, unless it is kept as overdue. */
+    private void abandonCurrentCall() {
+        if (currentCall != null && currentCall != overdueCall) {
+            currentCall.cancelTimeout();
+        }
+        currentCall = null;
+    }
+
+    private void abandonOverdueCall() {
+        if (overdueCall != null) {
+            DiscoveryCall abandoned = overdueCall;
+            overdueCall = null;
+            abandoned.cancelTimeout();
+            abandoned.connection.close();
+        }
+    }
+
     /**
      * Switches to another address: after the first failure to a random one, so that proxies don't all move to
      * the same, and after further failures to the next in order. A service that sends an epoch is a replica
@@ -430,42 +431,44 @@
         }
     }
 
-    /** Handles a complete answer; {@code listing} is null if it contained no valid list. */
-    private void answerReceived(HttpResponse response, Listing listing) {
+    @Override
+    public void answered(DiscoveryCall call, HttpResponse response, Listing listing) {
+        String answerEpoch = response.headers().get(DiscoveryConnection.EPOCH_HEADER);
+        if (call == overdueCall && (listing == null || !listing.isFull() && !appliesTo(listing, answerEpoch))) {
+            abandonOverdueCall();
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.CLIENT_ERROR) {
             requireFullList();  // the service doesn't know the version in force
         }
-        String answerEpoch = response.headers().get(EPOCH_HEADER);
         if (listing == null || !listing.isFull() && !canApply(listing, answerEpoch)) {
             consecutiveRefusals++;
             callFailed("answered " + response.status().code()
                     + (listing == null ? " without a valid list" : " with changes that do not apply"));
             return;
         }
-        waits.callAnswered(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - callStartedNs));
+        endOtherCall(call);
         freshness.callAnswered(driver.clock().nowUs());
         epoch = answerEpoch;
-        callInProgress = false;
-        long answeredCallStartedUs = callStartedUs;
-        timeoutTask.cancel(false);
+        call.cancelTimeout();
+        currentCall = null;
         listReceived = true;
-        purpose = Purpose.WATCH;
+        nextPurpose = Purpose.WATCH;
         index = listing.index();
         retryPauseMs = MIN_RETRY_PAUSE_MS;
         consecutiveFailures = 0;
         consecutiveRefusals = 0;
         consecutiveLocalFailures = 0;
         if (!HttpUtil.isKeepAlive(response)) {
-            closeChannel();
+            closeConnection();
         }
-        if (addresses.size() > 1 && response.headers().contains(STALE_HEADER)) {
+        if (addresses.size() > 1 && response.headers().contains(DiscoveryConnection.STALE_HEADER)) {
             // The replica's list is applied, but another replica may have a newer one.
             addressIndex = (addressIndex + 1) % addresses.size();
-            closeChannel();
+            closeConnection();
         }
         // Starts the next watch before applying the list, which may take long.
-        if (listing.entries().isEmpty()
-                && System.nanoTime() - callStartedNs < EMPTY_ANSWER_PAUSE_MS * 1_000_000) {
+        if (listing.entries().isEmpty() && call.ageMs() < EMPTY_ANSWER_PAUSE_MS) {
             scheduleCall(EMPTY_ANSWER_PAUSE_MS);
         } else {
             startCall();
@@ -473,15 +476,32 @@
         long notifiedAtUs = Math.min(missedSinceUs, driver.clock().nowUs());
         missedSinceUs = Long.MAX_VALUE;
         long previousListUs = listCurrentUs;
-        listCurrentUs = answeredCallStartedUs;
+        listCurrentUs = call.startedUs;
         driver.listChanged(listing.isFull() ? ListKind.WHOLE : ListKind.CHANGES, listing.entries(),
                 notifiedAtUs, previousListUs);
         markFirstCallEnded();
     }
 
+    /** Ends the call that was not answered; the next call uses the connection of the one that was. */
+    private void endOtherCall(DiscoveryCall answeredCall) {
+        if (answeredCall == overdueCall) {
+            overdueCall = null;
+            abandonCurrentCall();
+            closeConnection();
+            connection = answeredCall.connection;
+        } else {
+            abandonOverdueCall();
+        }
+    }
+
+    /** Returns whether changes apply to the list in force. */
+    private boolean appliesTo(Listing changes, String answerEpoch) {
+        return index >= 0 && changes.index() >= index && Objects.equals(answerEpoch, epoch);
+    }
+
     /** Returns whether changes apply to the list in force; if not, the next call asks for the full list. */
     private boolean canApply(Listing changes, String answerEpoch) {
-        boolean applicable = index >= 0 && changes.index() >= index && Objects.equals(answerEpoch, epoch);
+        boolean applicable = appliesTo(changes, answerEpoch);
         if (!applicable) {
             LOG.atWarn().addKeyValue("index", changes.index()).addKeyValue("held", index)
                     .log("changes do not apply to the list in force; requesting the full list");
@@ -489,62 +509,4 @@
         }
         return applicable;
     }
-
-    /** Reads answers from the connection to discovery and passes on each when it is complete. */
-    private final class AnswerReader extends SimpleChannelInboundHandler<HttpObject> {
-        /** The head of the answer being received, or null. Informational (1xx) answers are skipped. */
-        private HttpResponse response;
-        /** The reader of the answer's list; null if the answer contains no list or an invalid one. */
-        private ListingReader listReader;
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, HttpObject part) {
-            if (context.channel() != channel || !callInProgress || part.decoderResult().isFailure()) {
-                context.close();
-                return;
-            }
-            if (part instanceof HttpResponse head
-                    && head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
-                response = head;
-                listReader = head.status().code() == HttpResponseStatus.OK.code()
-                        ? new ListingReader(zones) : null;
-            }
-            if (part instanceof HttpContent content && response != null) {
-                answerBytes += content.content().readableBytes();
-                readContent(content);
-            }
-        }
-
-        private void readContent(HttpContent content) {
-            Listing listing = null;
-            boolean isLastPart = content instanceof LastHttpContent;
-            try {
-                if (listReader != null) {
-                    listReader.read(content.content());
-                    listing = isLastPart ? listReader.finish() : null;
-                }
-            } catch (ListingReader.InvalidListException e) {
-                LOG.atWarn().addKeyValue("why", e.getMessage())
-                        .log("received an invalid list; requesting the full list");
-                listReader = null;
-                requireFullList();
-            }
-            if (isLastPart) {
-                HttpResponse answer = response;
-                response = null;
-                listReader = null;
-                answerReceived(answer, listing);
-            }
-        }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext context) {
-            connectionClosed(context.channel());
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
-        }
-    }
 }
--- a/src/main/java/larkworks/proxy/DiscoveryWaits.java
+++ b/src/main/java/larkworks/proxy/DiscoveryWaits.java
@@ -1,11 +1,10 @@
 package larkworks.proxy;
 
 /**
- * Wait times of calls to discovery, sent to it as {@code wait}, and timeouts of its answers. A single
- * timeout is short enough to learn of changes within the 6 s after which the platform regards them as
- * delivered to the proxy. Each further timeout in a row extends the next ones, for a discovery service that
- * is slow because it handles the calls of many proxies one by one or writes thousands of backends: repeating
- * an abandoned call puts it at the back of the service's queue and makes the service do the same work again.
+ * Wait times of calls to discovery, sent to it as {@code wait}, and timeouts of its answers. However many
+ * calls have failed before, a new call begins in time to learn of changes within the 6 s after which the
+ * platform regards them as delivered to the proxy. A call that has timed out may still be in the queue of a
+ * service that handles the calls of many proxies one by one, so one such call is kept beside the new one.
  */
 final class DiscoveryWaits {
 
@@ -30,8 +29,8 @@
      * never comes.
      */
     private static final long CATCH_UP_TIMEOUT_MS = 3_500;
-    /** Maximum by which repeated timeouts extend the next ones. */
-    private static final long MAX_TIMEOUT_EXTENSION_MS = 30_000;
+    /** How long a call that has timed out is kept beside newer ones. */
+    static final long OVERDUE_CALL_TIMEOUT_MS = 30_000;
     /** Timeout between two parts of an answer; short, as the answer may announce a drain. */
     private static final long STALLED_ANSWER_TIMEOUT_MS = 1_000;
     /**
@@ -51,11 +50,10 @@
         WATCH
     }
 
-    private int consecutiveTimeouts;
-    private long timeoutExtensionMs;
+    private DiscoveryWaits() { }
 
     /** Returns how long discovery may delay its answer while there are no changes. */
-    long waitMs(Purpose purpose) {
+    static long waitMs(Purpose purpose) {
         return switch (purpose) {
             case FIRST -> FIRST_CALL_WAIT_MS;
             case CATCH_UP -> CATCH_UP_WAIT_MS;
@@ -67,35 +65,17 @@
      * Returns the timeout of an answer's first byte; {@code isFullList} says whether the call asks for the
      * full list.
      */
-    long firstByteTimeoutMs(Purpose purpose, boolean isFullList) {
-        long baseTimeoutMs = switch (purpose) {
+    static long firstByteTimeoutMs(Purpose purpose, boolean isFullList) {
+        return switch (purpose) {
             case FIRST -> FIRST_CALL_TIMEOUT_MS;
             case CATCH_UP -> CATCH_UP_TIMEOUT_MS;
             case WATCH -> isFullList ? FIRST_CALL_TIMEOUT_MS : WATCH_WAIT_MS + WATCH_TIMEOUT_MARGIN_MS;
         };
-        return baseTimeoutMs + timeoutExtensionMs;
     }
 
     /** Returns the timeout of an answer's next part; {@code bytes} is the size of the answer so far. */
-    long nextBytesTimeoutMs(long sinceFirstByteMs, long bytes) {
-        long remainingMs = COMPLETE_ANSWER_TIMEOUT_MS + timeoutExtensionMs + bytes / MIN_BYTES_PER_MS
-                - sinceFirstByteMs;
-        return Math.max(0, Math.min(STALLED_ANSWER_TIMEOUT_MS + timeoutExtensionMs, remainingMs));
-    }
-
-    /** Records that a call timed out; from the second in a row on, timeouts grow. */
-    void callTimedOut() {
-        if (++consecutiveTimeouts > 1) {
-            timeoutExtensionMs = Math.min(MAX_TIMEOUT_EXTENSION_MS,
-                    Math.max(CATCH_UP_TIMEOUT_MS, 2 * timeoutExtensionMs));
-        }
-    }
-
-    /** Records that a call was answered; quick answers shrink grown timeouts step by step. */
-    void callAnswered(long durationMs) {
-        consecutiveTimeouts = 0;
-        if (2 * durationMs < timeoutExtensionMs) {
-            timeoutExtensionMs = timeoutExtensionMs / 2 < CATCH_UP_WAIT_MS ? 0 : timeoutExtensionMs / 2;
-        }
+    static long nextBytesTimeoutMs(long sinceFirstByteMs, long bytes) {
+        long remainingMs = COMPLETE_ANSWER_TIMEOUT_MS + bytes / MIN_BYTES_PER_MS - sinceFirstByteMs;
+        return Math.max(0, Math.min(STALLED_ANSWER_TIMEOUT_MS, remainingMs));
     }
 }
--- a/src/test/java/larkworks/proxy/DiscoveryDeadlinesTest.java
+++ b/src/test/java/larkworks/proxy/DiscoveryDeadlinesTest.java
@@ -30,6 +30,8 @@
     private static final long DELIVERY_LIMIT_MS = 6_000;
     /** Maximum number of measurements; the shortest counts, as a busy machine only lengthens them. */
     private static final int MAX_TRIES = 3;
+    /** With so many, a wait that doubles with each of them would exceed the limit. */
+    private static final int UNANSWERED_CALLS = 4;
     /** The number of backends in the largest deployment that is tested. */
     private static final int LARGE_LIST_SIZE = 1_100;
 
@@ -163,6 +165,52 @@
         }
     }
 
+    /** Guards against waits that grow with each call in a row that gets no answer, or a part of one. */
+    @ParameterizedTest
+    @CsvSource({"pushed,silent", "pushed,stalled", "on_request,silent", "on_request,stalled"})
+    void callsAgainInTimeThoughManyCallsInARowGotNoAnswer(String mode, String failure) throws Exception {
+        try (TestBench bench = new TestBench(2)) {
+            bench.discoveryMode = mode;
+            bench.start(folder);
+            bench.discovery.next().reply(200, bench.fullList(1));
+            bench.discovery.next();
+            for (int i = 0; i < UNANSWERED_CALLS; i++) {
+                StubServer.Message call = bench.discovery.next();
+                if (failure.equals("stalled")) {
+                    call.sendRaw("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"index\":2,");
+                }
+            }
+            long reachableNs = System.nanoTime();
+            bench.discovery.next().reply(200, listWithFirstDraining(bench, 2));
+            awaitCallAfterList(bench, 2);
+            assertTrue(elapsedMs(reachableNs) < DELIVERY_LIMIT_MS, "in ms: " + elapsedMs(reachableNs));
+            assertServedBy(bench, 1);
+        }
+    }
+
+    /**
+     * Guards against a slow discovery that is never heard: a call that it still has in its queue is answered
+     * after newer calls have been made, of which there must not be more and more.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"pushed", "on_request"})
+    void appliesALateAnswerToACallThatHasTimedOut(String mode) throws Exception {
+        try (TestBench bench = new TestBench(2)) {
+            bench.discoveryMode = mode;
+            bench.start(folder);
+            bench.discovery.next().reply(200, bench.fullList(1));
+            awaitCallAfterList(bench, 1).awaitConnectionEnd();
+            StubServer.Message lateCall = awaitCallAfterList(bench, 1);
+            StubServer.Message secondCall = awaitCallAfterList(bench, 1);
+            StubServer.Message thirdCall = awaitCallAfterList(bench, 1);
+            secondCall.awaitConnectionEnd();
+            lateCall.reply(200, listWithFirstDraining(bench, 2));
+            awaitCallAfterList(bench, 2);
+            thirdCall.awaitConnectionEnd();
+            assertServedBy(bench, 1);
+        }
+    }
+
     /**
      * Some watches are answered, a later one hangs, and the call that reopens it is refused. The time limit
      * is the same however long the proxy has been running.
