Have the list service of test fleets choose its port

Cause: ProxyFleet took a port that was free at TestBench.HOST and listened with it at 127.0.0.1, where the outgoing connections of all processes take their ports.

Change: the list service listens at TestBench.HOST, where no outgoing connection takes a port, with a port that the system chooses; a restart uses the same one. No check changes.

--- a/src/test/java/larkworks/proxy/ProxyFleet.java
+++ b/src/test/java/larkworks/proxy/ProxyFleet.java
@@ -29,7 +29,7 @@
 
     final UdpRelay relay;
     /** The address of the list service, which stays the same when it is restarted. */
-    final String discoveryAddress;
+    private String discoveryAddress = TestBench.HOST + ":0";
     Program listService;
     final Caller registryClient;
     final List<Program> proxies = new ArrayList<>();
@@ -59,8 +59,6 @@
             }
         }
         relay = new UdpRelay(memberAddresses);
-        String discoveryAddress = "127.0.0.1:" + TestBench.freePort();
-        this.discoveryAddress = discoveryAddress;
         startListService();
         registryClient = new Caller(discoveryAddress);
         List<String> peers = new ArrayList<>();
@@ -101,11 +99,11 @@
         return "\"" + address.getAddress().getHostAddress() + ":" + address.getPort() + "\"";
     }
 
-    /** Starts or restarts the list service. */
+    /** Starts the list service at a port that the system chooses, or restarts it at the same one. */
     void startListService() throws Exception {
         listService = new Program("", Map.of(), "registry", "--listen", discoveryAddress, "--data",
                 folder.resolve("registry").toString());
-        listService.awaitLogLine("serving");
+        discoveryAddress = (String) listService.awaitLogLine("serving").get("address");
     }
 
     /** Starts or restarts the proxy with index {@code i}. */
