Let an invalid list of an earlier call not refuse the current call's answer

The current call's changes were refused then, and a drain in them came a call later.

Cause: Discovery.invalidListReceived did not ask which call was answered.

Change: only the current call's answer has the full list asked for.

Measured: DiscoveryDeadlinesTest.appliesChangesThoughACallThatHasTimedOut... failed before, passes now, with FailOverTest, DiscoveryWaitsTest and the test of the late answer.

--- a/src/main/java/larkworks/proxy/Discovery.java
+++ b/src/main/java/larkworks/proxy/Discovery.java
@@ -345,7 +345,9 @@
 
     @Override
     public void invalidListReceived(DiscoveryCall call) {
-        requireFullList();
+        if (call == currentCall) {
+            requireFullList();
+        }
     }
 
     @Override
--- a/src/test/java/larkworks/proxy/DiscoveryDeadlinesTest.java
+++ b/src/test/java/larkworks/proxy/DiscoveryDeadlinesTest.java
@@ -211,6 +211,23 @@
         }
     }
 
+    /** Guards against the refusal of changes as an invalid list has come in answer to an earlier call. */
+    @Test
+    void appliesChangesThoughACallThatHasTimedOutIsAnsweredWithAnInvalidList() throws Exception {
+        try (TestBench bench = new TestBench(2)) {
+            bench.start(folder);
+            bench.discovery.next().reply(200, bench.fullList(1));
+            awaitCallAfterList(bench, 1).awaitConnectionEnd();
+            StubServer.Message lateCall = awaitCallAfterList(bench, 1);
+            StubServer.Message currentCall = awaitCallAfterList(bench, 1);
+            lateCall.reply(200, "no list");
+            lateCall.awaitConnectionEnd();
+            currentCall.reply(200, TestBench.listJson(2, false, bench.entry(0, "terminating")));
+            awaitCallAfterList(bench, 2);
+            assertServedBy(bench, 1);
+        }
+    }
+
     /**
      * Some watches are answered, a later one hangs, and the call that reopens it is refused. The time limit
      * is the same however long the proxy has been running.
