--- a/src/main/java/larkworks/proxy/Frontend.java
+++ b/src/main/java/larkworks/proxy/Frontend.java
@@ -570,6 +570,7 @@
             return channel.isWritable() && unwrittenAnswers.allowAnotherRequest();
         }
 
+        /** Decodes the next request that was sent ahead, if it waited for the client to read its answers. */
         private void onAnswerWritten() {
             if (!closing && head == null && decoder.undecodedBytes() > 0 && hasRoomForAnswer()) {
                 scheduleResume();
